Expected service time by kind of request

Cause: admission refused a request when less time was left than the mean time of all requests at the target plus one deviation. Where requests of 60 ms with a limit of 700 ms share a service with requests of 950 ms, the mean of both is above the limit, and the short calls were refused at once, not run, although there was room (log lines of the attempt: reason=deadline-expired waited-ms=0.0 load below limit); each such refusal failed a request above it. Ruled out: missing slots (load was at a third to a half of the limit), distance (refused after 0.7 ms at the same host). Test: ShortRequestIsNotRefusedBecauseLongOnesRunBesideIt; it fails when both kinds are given as one.

--- a/src/coordination/overload/admissioncontroller.cpp
+++ b/src/coordination/overload/admissioncontroller.cpp
@@ -45,7 +45,7 @@
         out.refused.push_back({offer.ticket, Verdict::refused(Reason::Draining)});
         return;
     }
-    if (isHopeless(offer.deadline, now)) {
+    if (isHopeless(offer.deadline, offer.kind, now)) {
         out.refused.push_back({offer.ticket, Verdict::refused(Reason::DeadlineExpired)});
         return;
     }
@@ -61,7 +61,7 @@
 {
     const EntryIndex entry = m_freeEntries.back();
     m_freeEntries.pop_back();
-    m_entries[entry] = {offer.ticket, offer.deadline, flow, false};
+    m_entries[entry] = {offer.ticket, offer.deadline, flow, false, offer.kind};
     m_tickets.insert(static_cast<std::uint64_t>(offer.ticket), entry);
     m_queue.push(entry, flow, rootHash(offer.root), now);
 }
@@ -95,12 +95,23 @@
     }
     m_queue.settle(*entry, completion.serviceTime);
     m_limit.completed(completion, m_running, m_queue.size() > 0, now);
+    noteServiceTime(m_entries[*entry].kind, completion, now);
     release(*entry);
     --m_running;
     startWaiting(now, out);
     shedExcess(now, out);
 }
 
+void AdmissionController::noteServiceTime(RequestKind kind, const Completion &completion, TimePoint now)
+{
+    if (completion.kind == CompletionKind::Succeeded || completion.kind == CompletionKind::TimedOut) {
+        m_times.note(kind, completion.serviceTime, now);
+    } else if (completion.kind == CompletionKind::Cancelled) {
+        // Without these, only the quick ones would be known.
+        m_times.noteGivenUp(kind, completion.serviceTime, now);
+    }
+}
+
 bool AdmissionController::cancel(AttemptTicket ticket, TimePoint now, AdmissionActions &out)
 {
     const std::optional<std::uint32_t> entry = m_tickets.find(static_cast<std::uint64_t>(ticket));
@@ -127,7 +138,7 @@
         if (!next) {
             return;
         }
-        if (isHopeless(m_entries[*next].deadline, now)) {
+        if (isHopeless(m_entries[*next].deadline, m_entries[*next].kind, now)) {
             m_queue.refund(*next);
             refuse(*next, Reason::DeadlineExpired, now, out);
             continue;
@@ -147,16 +158,16 @@
     // What is shed for delay is the worst of all that waits and not the one that waited longest:
     // that one may belong to a higher priority or to an organisation below its share.
     const std::optional<TimePoint> oldest = m_queue.oldestSince();
-    if (oldest && now - *oldest > std::max(m_settings.queueDelay, m_limit.expectedServiceTime(now))) {
+    if (oldest && now - *oldest > std::max(m_settings.queueDelay, m_times.expected(now))) {
         refuse(*m_queue.popWorst(), Reason::Overloaded, now, out);
     }
 }
 
-bool AdmissionController::isHopeless(TimePoint deadline, TimePoint now) const
+bool AdmissionController::isHopeless(TimePoint deadline, RequestKind kind, TimePoint now) const
 {
     // With few running there is little news of the service time, and an expectation from a slow past must not keep requests out.
     const bool isTrusted = static_cast<double>(m_running) > limit(now) * TrustedShare;
-    return deadline - now <= (isTrusted ? m_limit.longServiceTime(now) : Duration::zero());
+    return deadline - now <= (isTrusted ? m_times.longTime(kind, now) : Duration::zero());
 }
 
 std::uint32_t AdmissionController::limit(TimePoint now) const
@@ -174,7 +185,7 @@
 
 Duration AdmissionController::retryAfter(TimePoint now) const
 {
-    return std::clamp(m_limit.expectedServiceTime(now) * 2, ShortestRetryAfter, LongestRetryAfter);
+    return std::clamp(m_times.expected(now) * 2, ShortestRetryAfter, LongestRetryAfter);
 }
 
 AdmissionHint AdmissionController::hint(TimePoint now) const
--- a/src/coordination/overload/admissioncontroller.h
+++ b/src/coordination/overload/admissioncontroller.h
@@ -12,6 +12,7 @@
 #include "coordination/overload/concurrencylimit.h"
 #include "coordination/overload/downstreamwindow.h"
 #include "coordination/overload/fairqueue.h"
+#include "coordination/overload/servicetimes.h"
 #include "coordination/overload/ticketindex.h"
 #include "protocol/callmessages.h"
 #include "state/callcontext.h"
@@ -42,6 +43,8 @@
     TimePoint deadline;
     /// Hops from the entry node; 0 at the first service.
     std::uint8_t depth = 0;
+    /// Requests of one kind take about as long.
+    RequestKind kind{};
 };
 
 /// An offer that is not going to run. Its verdict is always not-run.
@@ -123,6 +126,7 @@
         TimePoint deadline;
         FlowIndex flow;
         bool isRunning;
+        RequestKind kind;
     };
 
     void enqueue(const Offer &offer, FlowIndex flow, TimePoint now);
@@ -130,12 +134,14 @@
     void release(EntryIndex entry);
     void shedExcess(TimePoint now, AdmissionActions &out);
     void startWaiting(TimePoint now, AdmissionActions &out);
-    [[nodiscard]] bool isHopeless(TimePoint deadline, TimePoint now) const;
+    [[nodiscard]] bool isHopeless(TimePoint deadline, RequestKind kind, TimePoint now) const;
+    void noteServiceTime(RequestKind kind, const Completion &completion, TimePoint now);
     [[nodiscard]] std::size_t queueLimit(TimePoint now) const;
     [[nodiscard]] Duration retryAfter(TimePoint now) const;
 
     AdmissionSettings m_settings;
     ConcurrencyLimit m_limit;
+    ServiceTimes m_times;
     DownstreamWindow m_downstream;
     FairQueue m_queue;
     TicketIndex m_tickets;
--- a/src/coordination/overload/concurrencylimit.cpp
+++ b/src/coordination/overload/concurrencylimit.cpp
@@ -33,20 +33,12 @@
 constexpr double BaselineGainDown = 0.5;
 /// Of the limit; a target with fewer requests shows its unloaded latency.
 constexpr double UnloadedShare = 0.5;
-constexpr double ExpectedGain = 0.05;
-/// Mean deviations above the mean that most requests stay below.
-constexpr double LongDeviations = 1;
 
 double seconds(Duration duration)
 {
     return std::chrono::duration<double>(duration).count();
 }
 
-Duration toDuration(double found)
-{
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(found));
-}
-
 void requireAbove(double found, double lowest, const char *field)
 {
     if (found < lowest) {
@@ -75,7 +67,6 @@
     , m_announced(std::min(settings.announcedSlots, settings.connections))
     , m_limit(m_announced)
     , m_isCold(settings.isCold)
-    , m_lastNews(now)
     , m_window{now}
 {
     checkSettings(settings);
@@ -110,10 +101,6 @@
         m_window.sumOwn += std::max(0.0, seconds(completion.serviceTime - completion.downstreamTime));
         m_window.sumTotal += seconds(completion.serviceTime);
         ++m_window.count;
-        noteTotal(seconds(completion.serviceTime), now);
-    } else if (completion.kind == CompletionKind::Cancelled && seconds(completion.serviceTime) > m_expected) {
-        // It would have taken longer still; without these, only the quick ones would be known.
-        noteTotal(seconds(completion.serviceTime), now);
     }
     const bool isLong = now - m_window.begin >= WindowLength;
     // With a low limit few requests run, and waiting for many samples would keep it low.
@@ -123,28 +110,6 @@
     }
 }
 
-void ConcurrencyLimit::noteTotal(double total, TimePoint now)
-{
-    if (m_expected == 0) {
-        m_expected = total;
-    }
-    m_deviation += ExpectedGain * (std::abs(total - m_expected) - m_deviation);
-    m_expected += ExpectedGain * (total - m_expected);
-    m_lastNews = now;
-}
-
-Duration ConcurrencyLimit::longServiceTime(TimePoint now) const
-{
-    const double quiet = std::max(0.0, seconds(now - m_lastNews));
-    return toDuration((m_expected + LongDeviations * m_deviation) * std::exp2(-quiet));
-}
-
-Duration ConcurrencyLimit::expectedServiceTime(TimePoint now) const
-{
-    const double quiet = std::max(0.0, seconds(now - m_lastNews));
-    return toDuration(m_expected * std::exp2(-quiet));
-}
-
 void ConcurrencyLimit::closeWindow(TimePoint now)
 {
     const Window window = m_window;
--- a/src/coordination/overload/concurrencylimit.h
+++ b/src/coordination/overload/concurrencylimit.h
@@ -32,12 +32,6 @@
     /// The target went away and comes back cold.
     void restart(TimePoint now);
 
-    /// Smoothed time of a request at the target, calls of its own included. Zero while unknown.
-    /// Halves for each second without news, so that a few slow requests can't keep all others out.
-    [[nodiscard]] Duration expectedServiceTime(TimePoint now) const;
-    /// The time that most requests stay below. Decays in the same way.
-    [[nodiscard]] Duration longServiceTime(TimePoint now) const;
-
 private:
     struct Window {
         TimePoint begin;
@@ -54,7 +48,6 @@
         double total;
     };
 
-    void noteTotal(double total, TimePoint now);
     void closeWindow(TimePoint now);
     /// The total time as a multiple of what it would be if the target were unloaded.
     [[nodiscard]] double slownessOf(const Sample &sample) const;
@@ -73,9 +66,6 @@
     double m_baseline = 0;
     /// The most requests that ran at once without waiting inside the target.
     double m_proven = 0;
-    double m_expected = 0;
-    double m_deviation = 0;
-    TimePoint m_lastNews;
     Window m_window;
 };
 
--- a/src/coordination/overload/test/admissioncontroller_test.cpp
+++ b/src/coordination/overload/test/admissioncontroller_test.cpp
@@ -79,6 +79,42 @@
 
 BOOST_AUTO_TEST_SUITE(admission)
 
+// A service that alarms (long) and telemetry reads (short, with little time) share: the mean of both is longer than the time of a read.
+BOOST_AUTO_TEST_CASE(ShortRequestIsNotRefusedBecauseLongOnesRunBesideIt)
+{
+    constexpr auto Long = RequestKind{1};
+    constexpr auto Short = RequestKind{2};
+    Desk desk(smallTarget(8));
+    const auto offer = [&desk](RequestKind kind, Duration patience) {
+        const AttemptTicket ticket{++desk.last};
+        AdmissionActions out;
+        desk.admission.offer({.ticket = ticket,
+                              .root = RequestId(desk.random(), desk.random()),
+                              .organisation = OrganisationId("calls"),
+                              .priority = PriorityLevel{0},
+                              .weight = 1,
+                              .deadline = desk.now + patience,
+                              .kind = kind},
+                             desk.now,
+                             out);
+        desk.take(out);
+        return static_cast<std::uint64_t>(ticket);
+    };
+    for (int i = 0; i < 60; ++i) {
+        const std::uint64_t first = offer(Long, std::chrono::seconds(10));
+        const std::uint64_t second = offer(Short, 700 * Millisecond);
+        desk.complete(second, 60 * Millisecond);
+        desk.complete(first, 950 * Millisecond);
+    }
+    const auto busy = {offer(Long, std::chrono::seconds(10)), offer(Long, std::chrono::seconds(10)), offer(Long, std::chrono::seconds(10))};
+    BOOST_TEST(desk.running.size() == busy.size());
+    BOOST_TEST(desk.running.contains(offer(Short, 700 * Millisecond)));
+    // A long one that has as little time is still refused, not run.
+    const std::uint64_t late = offer(Long, 700 * Millisecond);
+    BOOST_REQUIRE(desk.refused.contains(late));
+    BOOST_CHECK(desk.refused.at(late).reason() == Reason::DeadlineExpired);
+}
+
 BOOST_AUTO_TEST_CASE(NoMoreThanTheLimitRunsAtOnceAndEveryOfferEndsOnce)
 {
     Desk desk(smallTarget(3));
--- a/src/mesh/meshtarget.cpp
+++ b/src/mesh/meshtarget.cpp
@@ -28,6 +28,12 @@
     return std::max<std::uint32_t>(static_cast<std::uint32_t>(slots * UsedSlots), 1);
 }
 
+/// Requests of one route do about the same work.
+RequestKind kindOf(const RouteName &route)
+{
+    return static_cast<RequestKind>(std::hash<RouteName>()(route));
+}
+
 CompletionKind completionOf(const CallOutcome &outcome)
 {
     if (outcome.response) {
@@ -106,6 +112,7 @@
         .priority = request.context.priority,
         .weight = 1,
         .deadline = now + request.context.remaining,
+        .kind = kindOf(request.route),
     };
     const Key key{sender, request.attempt};
     std::string requestId(findHeader(request.http.headers, m_headers.requestId).value_or(""));
