Reports between nodes name only what changed

Cause: each node told each other one all that every organisation had used, up to ten times a second: on a fleet of 83 nodes with 84 organisations most reports were urgent, because two requests of a small organisation that peers do not expect are common there. Change: a report names an organisation only where its count or rate is not what peers expect by the report before; an urgent one names only those that are urgent; target and leavings come in complete reports, which are sent at a first meeting, at a change, when asked for and one time in ten. Counts and rates take two to six bytes in place of eighteen. Tests: the whole allowance suite now reports in these scopes with the bounds it had; ReportsLeaveOutWhatPeersExpectAnyway and WhatAPeerTookBeforeItsFirstCompleteReportIsNotTakenAgain are new.

--- a/src/coordination/allowance/fleetallowances.cpp
+++ b/src/coordination/allowance/fleetallowances.cpp
@@ -31,6 +31,9 @@
 /// Peers should hear soon of so many requests more than they expect, or of this part of a node's even part of the bucket.
 constexpr double UrgentRequests = 2;
 constexpr double UrgentPart = 0.4;
+/// What peers expect of an organisation may be wrong by so many requests, and by this part of its rate, before a report names it again.
+constexpr double UnnamedRequests = 0.75;
+constexpr double UnnamedRatePart = 0.3;
 constexpr Duration UpdateInterval = std::chrono::milliseconds(100);
 } // namespace
 
@@ -89,26 +92,32 @@
     update(now);
 }
 
-void FleetAllowances::noteReport(const NodeId &peer, const std::vector<OrganisationUse> &uses, bool isNewProcess, TimePoint now)
+void FleetAllowances::noteReport(const NodeId &peer, const ReportedUses &reported, TimePoint now)
 {
     update(now);
-    const auto [entry, isNew] = m_reports.try_emplace(peer);
-    PeerReport &report = entry->second;
+    PeerReport &report = m_reports[peer];
     if (report.isSilent) {
         setSilent(report, false);
     }
-    for (const OrganisationUse &it : uses) {
+    if (reported.isNewProcess) {
+        for (auto &[organisation, use] : report.uses) {
+            use.taken = 0;
+            use.ratePerSecond = 0;
+        }
+    }
+    // What a peer took before this node heard of it first is long past.
+    const bool isCounted = report.wasComplete || reported.isNewProcess;
+    for (const OrganisationUse &it : reported.uses) {
         PeerUse &use = report.uses[it.organisation];
-        const std::int64_t before = isNewProcess ? 0 : use.taken;
         const auto account = m_accounts.find(it.organisation);
-        // What a peer took before this node heard of it first is long past.
-        if (account != m_accounts.end() && !(isNew && !isNewProcess)) {
-            account->second.tokens -= static_cast<double>(it.taken - before) - use.assumed;
+        if (account != m_accounts.end() && isCounted) {
+            account->second.tokens -= static_cast<double>(it.taken - use.taken) - use.assumed;
         }
         use.taken = it.taken;
         use.ratePerSecond = it.ratePerSecond;
         use.assumed = 0;
     }
+    report.wasComplete = report.wasComplete || reported.isComplete || reported.isNewProcess;
     report.heardAt = now;
     m_peers = std::max(m_peers, m_reports.size());
 }
@@ -233,16 +242,44 @@
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(missing));
 }
 
-std::vector<OrganisationUse> FleetAllowances::report(TimePoint now)
+double FleetAllowances::unexpected(const Account &account, TimePoint now)
+{
+    const double expected = account.reportedRate * seconds(now - account.reportedAt);
+    return static_cast<double>(account.taken - account.reported) - expected;
+}
+
+bool FleetAllowances::isUrgent(const Account &account, TimePoint now) const
+{
+    return unexpected(account, now) >= std::max(UrgentRequests, depthOf(account) / nodes() * UrgentPart);
+}
+
+bool FleetAllowances::isNamed(const Account &account, ReportScope scope, TimePoint now) const
+{
+    if (account.taken == 0 && account.reported == 0) {
+        return false;
+    }
+    switch (scope) {
+    case ReportScope::Complete:
+        return true;
+    case ReportScope::Changed:
+        return std::abs(unexpected(account, now)) >= UnnamedRequests
+            || std::abs(account.localRate - account.reportedRate) > UnnamedRatePart * std::max(account.rate / nodes(), account.reportedRate);
+    case ReportScope::Urgent:
+        return isUrgent(account, now);
+    }
+    return true;
+}
+
+std::vector<OrganisationUse> FleetAllowances::report(ReportScope scope, TimePoint now)
 {
     update(now);
     std::vector<OrganisationUse> found;
     for (auto &[name, account] : m_accounts) {
         decay(account, now);
-        account.reported = account.taken;
-        account.reportedRate = account.localRate;
-        account.reportedAt = now;
-        if (account.taken != 0) {
+        if (isNamed(account, scope, now)) {
+            account.reported = account.taken;
+            account.reportedRate = account.localRate;
+            account.reportedAt = now;
             found.push_back({name, account.taken, account.localRate});
         }
     }
@@ -250,14 +287,21 @@
     return found;
 }
 
+std::vector<OrganisationUse> FleetAllowances::reported() const
+{
+    std::vector<OrganisationUse> found;
+    for (const auto &[name, account] : m_accounts) {
+        if (account.reported != 0) {
+            found.push_back({name, account.reported, account.reportedRate});
+        }
+    }
+    std::ranges::sort(found);
+    return found;
+}
+
 bool FleetAllowances::isReportUrgent(TimePoint now) const
 {
-    return std::ranges::any_of(m_accounts, [&](const auto &it) {
-        const Account &account = it.second;
-        const double expected = account.reportedRate * seconds(now - account.reportedAt);
-        const double unexpected = static_cast<double>(account.taken - account.reported) - expected;
-        return unexpected >= std::max(UrgentRequests, depthOf(account) / nodes() * UrgentPart);
-    });
+    return std::ranges::any_of(m_accounts, [&](const auto &it) { return isUrgent(it.second, now); });
 }
 
 } // namespace banyankeel
--- a/src/coordination/allowance/fleetallowances.h
+++ b/src/coordination/allowance/fleetallowances.h
@@ -4,7 +4,7 @@
 //
 //   FleetAllowances allowances(settings);
 //   allowances.configure(organisations, now);
-//   allowances.noteReport(peer, uses, isNewProcess, now);   // from the peers' reports
+//   allowances.noteReport(peer, reported, now);             // from the peers' reports
 //   if (allowances.take(organisation, now)) ...             // within the allowance
 //
 // Answers the load of an organisation that sends many times its rate: what is above it is refused at the entry, wherever it comes in.
@@ -39,6 +39,25 @@
     friend auto operator<=>(const AllowanceSettings &, const AllowanceSettings &) = default;
 };
 
+/// Which organisations a report names.
+enum class ReportScope : std::uint8_t {
+    /// All that were used.
+    Complete,
+    /// Those of which peers expect something else by the reports before.
+    Changed,
+    /// Those of which peers should hear at once.
+    Urgent,
+};
+
+/// What a peer reported.
+struct ReportedUses {
+    std::vector<OrganisationUse> uses;
+    /// Whether organisations that are not named were never used; otherwise there is no news of them.
+    bool isComplete;
+    /// Whether the peer's counts start anew.
+    bool isNewProcess;
+};
+
 /// One node's view of all allowances. Not thread-safe; time and size linear in the organisations, and in organisations x peers at a report and
 /// ten times a second.
 ///
@@ -54,8 +73,8 @@
 
     /// Takes over the rates of a configuration. Organisations that are gone are forgotten.
     void configure(const std::vector<MeshOrganisation> &organisations, TimePoint now);
-    /// What @p peer reports of its own use. @param isNewProcess whether its counts start anew.
-    void noteReport(const NodeId &peer, const std::vector<OrganisationUse> &uses, bool isNewProcess, TimePoint now);
+    /// What @p peer reports of its own use. Until its first complete report came, its counts are a beginning only and nothing was taken.
+    void noteReport(const NodeId &peer, const ReportedUses &reported, TimePoint now);
     /// How many peers there are.
     void notePeers(std::size_t count);
     /// The peer stops and takes nothing any more.
@@ -67,8 +86,10 @@
     void giveBack(const OrganisationId &organisation);
     /// When the next token is due.
     [[nodiscard]] Duration untilNext(const OrganisationId &organisation) const;
-    /// This node's use since its start, to be sent to all peers.
-    [[nodiscard]] std::vector<OrganisationUse> report(TimePoint now);
+    /// This node's use since its start, to be sent to all peers. Most organisations do as the last report of them says, so that Changed names few.
+    [[nodiscard]] std::vector<OrganisationUse> report(ReportScope scope, TimePoint now);
+    /// What peers that heard all reports know, for one that did not.
+    [[nodiscard]] std::vector<OrganisationUse> reported() const;
     /// Whether this node's use differs so much from what peers expect by its last report that they should hear of it soon.
     [[nodiscard]] bool isReportUrgent(TimePoint now) const;
 
@@ -102,6 +123,7 @@
     struct PeerReport {
         std::unordered_map<OrganisationId, PeerUse> uses;
         TimePoint heardAt;
+        bool wasComplete = false;
         /// While it is silent, its even part of each bucket is set aside for it.
         bool isSilent = false;
     };
@@ -112,6 +134,10 @@
     void update(TimePoint now);
     void fill(Account &account, TimePoint now) const;
     static void decay(Account &account, TimePoint now);
+    /// Requests beyond those that peers expect by the last report; below zero where there were fewer.
+    [[nodiscard]] static double unexpected(const Account &account, TimePoint now);
+    [[nodiscard]] bool isUrgent(const Account &account, TimePoint now) const;
+    [[nodiscard]] bool isNamed(const Account &account, ReportScope scope, TimePoint now) const;
     [[nodiscard]] double rateOf(const PeerReport &report, const OrganisationId &organisation, const Account &account) const;
     [[nodiscard]] double nodes() const;
     [[nodiscard]] double depthOf(const Account &account) const;
--- a/src/coordination/allowance/test/fleetallowances_test.cpp
+++ b/src/coordination/allowance/test/fleetallowances_test.cpp
@@ -29,7 +29,9 @@
 public:
     explicit AllowanceFleet(std::size_t nodes, double rate = Rate)
         : m_nodes(nodes, FleetAllowances(Settings))
+        , m_lastReportAt(nodes, Begin)
         , m_hasRestarted(nodes, false)
+        , m_isFirst(nodes, true)
     {
         for (std::size_t n = 0; n < nodes; ++n) {
             // Out of step, as processes are.
@@ -79,6 +81,11 @@
     {
         return m_most;
     }
+    /// The part of the reports that named the organisation.
+    [[nodiscard]] double namedPart() const
+    {
+        return static_cast<double>(m_named) / static_cast<double>(m_reports);
+    }
     [[nodiscard]] std::size_t size() const
     {
         return m_nodes.size();
@@ -88,15 +95,21 @@
     void report()
     {
         for (std::size_t from = 0; from < m_nodes.size(); ++from) {
-            const Duration interval = m_nodes[from].isReportUrgent(m_now) ? 100ms : 1000ms;
-            if (m_now - m_reportedAt[from] < interval) {
+            const bool isDue = m_now - m_reportedAt[from] >= 1000ms;
+            if (!isDue && (m_now - m_lastReportAt[from] < 100ms || !m_nodes[from].isReportUrgent(m_now))) {
                 continue;
             }
-            m_reportedAt[from] = m_now;
-            const std::vector<OrganisationUse> uses = m_nodes[from].report(m_now);
+            m_lastReportAt[from] = m_now;
+            m_reportedAt[from] = isDue ? m_now : m_reportedAt[from];
+            const bool isComplete = m_isFirst[from] || m_hasRestarted[from];
+            m_isFirst[from] = false;
+            const ReportScope scope = isComplete ? ReportScope::Complete : isDue ? ReportScope::Changed : ReportScope::Urgent;
+            const std::vector<OrganisationUse> uses = m_nodes[from].report(scope, m_now);
+            ++m_reports;
+            m_named += uses.size();
             for (std::size_t to = 0; to < m_nodes.size(); ++to) {
                 if (to != from && from >= m_cutOff && to >= m_cutOff) {
-                    m_nodes[to].noteReport(nodeName(from), uses, m_hasRestarted[from], m_now);
+                    m_nodes[to].noteReport(nodeName(from), {uses, isComplete, m_hasRestarted[from]}, m_now);
                 }
             }
             m_hasRestarted[from] = false;
@@ -107,7 +120,11 @@
     std::mt19937_64 m_random{7};
     TimePoint m_now = Begin;
     std::vector<TimePoint> m_reportedAt;
+    std::vector<TimePoint> m_lastReportAt;
     std::vector<bool> m_hasRestarted;
+    std::vector<bool> m_isFirst;
+    std::size_t m_reports = 0;
+    std::size_t m_named = 0;
     std::deque<TimePoint> m_passed;
     std::size_t m_most = 0;
     std::size_t m_cutOff = 0;
@@ -221,6 +238,29 @@
     BOOST_CHECK_GE(static_cast<double>(passed), (Rate * 10 + Burst) * 0.95);
 }
 
+// A large fleet has many small organisations: naming each of them in each report to each node costs more than the requests' answers.
+BOOST_AUTO_TEST_CASE(ReportsLeaveOutWhatPeersExpectAnyway)
+{
+    AllowanceFleet fleet(16);
+    const std::size_t passed = fleet.run(30s, 6, 16);
+    BOOST_CHECK_LE(fleet.namedPart(), 0.5);
+    BOOST_CHECK_GE(static_cast<double>(passed), 6 * 30 * 0.995);
+}
+
+BOOST_AUTO_TEST_CASE(WhatAPeerTookBeforeItsFirstCompleteReportIsNotTakenAgain)
+{
+    FleetAllowances allowances(Settings);
+    allowances.configure({{Carrier, {"key"}, std::nullopt, Rate, Burst}}, Begin);
+    allowances.notePeers(1);
+    const NodeId peer = nodeName(1);
+    allowances.noteReport(peer, {{{Carrier, 10'000, 0}}, false, false}, Begin);
+    allowances.noteReport(peer, {{{Carrier, 10'000, 0}}, true, false}, Begin + 1s);
+    BOOST_CHECK(allowances.take(Carrier, Begin + 2s));
+    // From then on all that it takes is.
+    allowances.noteReport(peer, {{{Carrier, 10'300, 0}}, false, false}, Begin + 2s);
+    BOOST_CHECK(!allowances.take(Carrier, Begin + 2100ms));
+}
+
 BOOST_AUTO_TEST_CASE(AnOrganisationWithoutALimitIsLetThrough)
 {
     FleetAllowances shares(Settings);
--- a/src/mesh/meshnode.cpp
+++ b/src/mesh/meshnode.cpp
@@ -17,9 +17,6 @@
 namespace
 {
 using namespace std::chrono_literals;
-// Reports are due this often, and sooner when peers expect another use of an allowance.
-constexpr Duration ReportInterval = 1s;
-constexpr Duration UrgentReportInterval = 100ms;
 constexpr Duration RosterInterval = 20s;
 // Without the store a node meets others only by being called: it listens after this time in any case.
 constexpr Duration StoreWait = 1s;
@@ -197,10 +194,7 @@
         }
         const TimePoint now = bootTime();
         m_target.sweep();
-        if (now - m_reportedAt >= (m_allowances.isReportUrgent(now) ? UrgentReportInterval : ReportInterval)) {
-            checkPeers(now);
-            sendReports(false);
-        }
+        reportIfDue(now);
         if (now - m_rosterAt >= RosterInterval) {
             readRoster();
         }
--- a/src/mesh/meshnode_fleet.cpp
+++ b/src/mesh/meshnode_fleet.cpp
@@ -18,6 +18,11 @@
 {
 using namespace std::chrono_literals;
 
+// Reports are due this often, and sooner when peers expect another use of an allowance.
+constexpr Duration ReportInterval = 1s;
+constexpr Duration UrgentReportInterval = 100ms;
+// One in so many is complete, in case a peer missed what changed.
+constexpr std::uint32_t BriefReports = 10;
 // A peer that reports every second is silent after two missed reports and the way.
 constexpr Duration PeerSilence = 2200ms;
 // A peer that is gone for good stays in the store's roster; it is not asked for longer than cuts and restarts last.
@@ -86,7 +91,7 @@
         registerSelf();
     }
     probeStoredTarget();
-    sendReports(true);
+    sendCompleteReports(true);
 }
 
 void MeshNode::Impl::registerSelf()
@@ -190,14 +195,15 @@
     if (report.target) {
         m_router.update(*report.target, now);
     }
+    const bool wasReachable = peer.isReachable;
     setReachable(peer, true, "report");
-    m_allowances.noteReport(from.node, report.uses, isNewProcess, now);
+    m_allowances.noteReport(from.node, {report.uses, report.isComplete, isNewProcess}, now);
     applyTarget(m_life.learn(report.leavingsOfReceiver));
     if (report.configuration > m_feed.version()) {
         m_network->send(from.endpoint, ConfigurationAsk{m_feed.version()}.encode());
     }
-    if (report.asksReply) {
-        sendReport(peer, false);
+    if (report.asksReply || !wasReachable) {
+        sendCompleteReport(peer, false);
     }
 }
 
@@ -220,7 +226,7 @@
             // The peer may be well and only the connection lost: its answer to this says so at once. Not from within the network's own call.
             asio::post(m_context, [this, node = peer->peer.node] {
                 if (const KnownPeer *known = m_peers.find(node)) {
-                    sendReport(*known, true);
+                    sendCompleteReport(*known, true);
                 }
             });
         }
@@ -229,35 +235,72 @@
     m_target.senderLost(endpoint);
 }
 
-NodeReport MeshNode::Impl::reportFor(const KnownPeer &to, bool asksReply)
+void MeshNode::Impl::sendCompleteReport(const KnownPeer &to, bool asksReply)
 {
-    return {
+    if (!m_network) {
+        return;
+    }
+    const NodeReport report{
         .asksReply = asksReply,
+        .isComplete = true,
         .configuration = m_feed.version(),
         .target = m_record,
         .leavings = m_life.leavings(),
         .leavingsOfReceiver = to.leavings,
-        .uses = m_uses,
+        .uses = m_allowances.reported(),
         .isStopping = m_isStopping,
     };
+    m_network->send(to.peer.endpoint, report.encode());
 }
 
-void MeshNode::Impl::sendReport(const KnownPeer &to, bool asksReply)
+void MeshNode::Impl::sendCompleteReports(bool asksReply)
 {
-    if (m_network) {
-        m_network->send(to.peer.endpoint, reportFor(to, asksReply).encode());
+    if (!m_self) {
+        return;
+    }
+    m_reportedAt = bootTime();
+    m_lastReportAt = m_reportedAt;
+    // Also settles what peers know by the reports to come.
+    static_cast<void>(m_allowances.report(ReportScope::Complete, m_reportedAt));
+    for (const auto &[node, peer] : m_peers.all()) {
+        sendCompleteReport(peer, asksReply);
     }
 }
 
-void MeshNode::Impl::sendReports(bool asksReply)
+void MeshNode::Impl::sendBriefReports(ReportScope scope)
 {
     if (!m_self) {
         return;
     }
-    m_reportedAt = bootTime();
-    m_uses = m_allowances.report(m_reportedAt);
+    m_lastReportAt = bootTime();
+    const NodeReport report{
+        .asksReply = false,
+        .isComplete = false,
+        .configuration = m_feed.version(),
+        .target = std::nullopt,
+        .leavings = {},
+        .leavingsOfReceiver = {},
+        .uses = m_allowances.report(scope, m_lastReportAt),
+        .isStopping = m_isStopping,
+    };
     for (const auto &[node, peer] : m_peers.all()) {
-        sendReport(peer, asksReply);
+        m_network->send(peer.peer.endpoint, report.encode());
+    }
+}
+
+void MeshNode::Impl::reportIfDue(TimePoint now)
+{
+    if (now - m_reportedAt >= ReportInterval) {
+        checkPeers(now);
+        m_briefReports = (m_briefReports + 1) % BriefReports;
+        if (m_briefReports == 0) {
+            sendCompleteReports(false);
+        } else {
+            sendBriefReports(ReportScope::Changed);
+            m_reportedAt = now;
+        }
+    } else if (now - m_lastReportAt >= UrgentReportInterval && m_allowances.isReportUrgent(now)) {
+        sendBriefReports(ReportScope::Urgent);
     }
 }
 
--- a/src/mesh/meshnode_target.cpp
+++ b/src/mesh/meshnode_target.cpp
@@ -124,7 +124,7 @@
     const std::uint32_t slots = m_life.current()->slots;
     m_record = TargetRecord{*m_self, m_settings.service, state, slots, slots, ++m_recordVersion};
     m_router.update(*m_record, bootTime());
-    sendReports(false);
+    sendCompleteReports(false);
 }
 
 void MeshNode::Impl::acknowledgeLeaving(const HttpResponder &respond)
--- a/src/mesh/meshnodeimpl.h
+++ b/src/mesh/meshnodeimpl.h
@@ -60,9 +60,12 @@
     void reported(const Peer &from, const NodeReport &report);
     void peerLost(const Endpoint &endpoint, bool mayHaveArrived);
     void setReachable(KnownPeer &peer, bool isReachable, std::string_view reason);
-    void sendReports(bool asksReply);
-    void sendReport(const KnownPeer &to, bool asksReply);
-    NodeReport reportFor(const KnownPeer &to, bool asksReply);
+    /// Tells all peers all that they need to know of this node.
+    void sendCompleteReports(bool asksReply);
+    void sendCompleteReport(const KnownPeer &to, bool asksReply);
+    /// Tells all peers what changed, which most of the time is little.
+    void sendBriefReports(ReportScope scope);
+    void reportIfDue(TimePoint now);
 
     void tick();
     void checkPeers(TimePoint now);
@@ -95,9 +98,10 @@
     asio::steady_timer m_tickTimer;
     asio::steady_timer m_entryTimer;
     std::optional<TimePoint> m_entryWake;
+    /// Of the last report that named all changes, and of the last one at all.
     TimePoint m_reportedAt{};
-    /// As of the last report to all peers.
-    std::vector<OrganisationUse> m_uses;
+    TimePoint m_lastReportAt{};
+    std::uint32_t m_briefReports = 0;
     TimePoint m_rosterAt{};
     Duration m_idleTime = Duration::zero();
     BoundedLog m_requestLog;
--- a/src/protocol/nodereport.cpp
+++ b/src/protocol/nodereport.cpp
@@ -6,6 +6,7 @@
 #include "protocol/wirewriter.h"
 #include "state/errors.h"
 
+#include <cmath>
 #include <string>
 
 namespace banyankeel
@@ -14,6 +15,10 @@
 namespace
 {
 constexpr std::size_t MaxUses = 65'536;
+// Requests that are given back may make a count fall below zero for a moment; the shift keeps it a small number on the wire.
+constexpr std::int64_t GivenBackAtMost = 32'768;
+// Of one request a second.
+constexpr double RateSteps = 64;
 
 void requireType(const Envelope &envelope, MessageType type, const char *message)
 {
@@ -27,9 +32,8 @@
     writer.count(uses.size());
     for (const OrganisationUse &it : uses) {
         writer.text(it.organisation.text());
-        // Requests that are given back may make the count fall below zero for a moment.
-        writer.number(static_cast<std::uint64_t>(it.taken));
-        writer.real(it.ratePerSecond);
+        writer.compactNumber(static_cast<std::uint64_t>(it.taken + GivenBackAtMost));
+        writer.compactNumber(static_cast<std::uint64_t>(std::llround(it.ratePerSecond * RateSteps)));
     }
 }
 
@@ -40,11 +44,8 @@
     uses.reserve(n);
     for (std::size_t i = 0; i < n; ++i) {
         OrganisationId organisation(reader.text("organisation"));
-        const auto taken = static_cast<std::int64_t>(reader.number("taken"));
-        const double rate = reader.real("rate");
-        if (!(rate >= 0)) {
-            throw ProtocolError("node report: field rate: below zero");
-        }
+        const auto taken = static_cast<std::int64_t>(reader.number("taken")) - GivenBackAtMost;
+        const double rate = static_cast<double>(reader.number("rate")) / RateSteps;
         uses.push_back({std::move(organisation), taken, rate});
     }
     return uses;
@@ -77,6 +78,7 @@
 {
     WireWriter writer;
     writer.flag(asksReply);
+    writer.flag(isComplete);
     writer.compactNumber(static_cast<std::uint64_t>(configuration));
     if (target) {
         writeTargetRecord(writer, *target);
@@ -95,6 +97,7 @@
     requireType(envelope, MessageType::NodeReport, "node report");
     WireReader reader(envelope.payload, "node report");
     const bool asksReply = reader.flag("asks reply");
+    const bool isComplete = reader.flag("complete");
     const auto configuration = static_cast<ConfigurationVersion>(reader.number("configuration"));
     std::optional<TargetRecord> target;
     if (!reader.absent()) {
@@ -107,6 +110,7 @@
     reader.finish();
     return {
         asksReply,
+        isComplete,
         configuration,
         std::move(target),
         std::move(leavings),
--- a/src/protocol/nodereport.h
+++ b/src/protocol/nodereport.h
@@ -37,10 +37,13 @@
     friend auto operator<=>(const TargetLeaving &, const TargetLeaving &) = default;
 };
 
-/// Also shows that the sender is alive.
+/// Also shows that the sender is alive. Most reports are brief and hold what changed; one that is complete comes first to each peer, and again
+/// from time to time.
 struct NodeReport {
-    /// The receiver should report at once.
+    /// The receiver should report at once, completely.
     bool asksReply;
+    /// Otherwise what is absent or empty below has not changed since the report before.
+    bool isComplete;
     /// 0 while none is known.
     ConfigurationVersion configuration;
     /// Absent while the sender's target is not known or the sender stops.
