Requests are let in by what they cost at the service that is short, and repeats are kept for those that can be finished

In a surge requests were refused there after they had run at every service above; while its targets reject half of what they get, repeats were spread over the calls of all requests, and a request that needs four calls fails if one of them does. Change: src/coordination/demand. Each node measures what its callers offer, which calls the runs of each kind make (exactly where a call's id follows that of the request, else by expectation maximisation), how long runs hold a slot and which part of the calls is rejected; once a second it tells its peers, sooner when the rejected part changes. From the reports of all nodes each one works out the same parts: of slots at the entry, of repeats at every hop, by priority, and by cost within one. A rejected request may be sent again to one of the targets it was at (the limit is on targets, and it has not run; the test that stopped it there now checks the limit on rejections and that what may have run still goes nowhere); calls of runs that are repeats count against the budget below, which is used to 0.85 instead of 0.65 at the most. Most nodes hold their question to the store for 10 s instead of 1.5 s; four keep asking often, and the others hear of a missed change from them.

--- a/src/coordination/feed/configurationfeed.h
+++ b/src/coordination/feed/configurationfeed.h
@@ -21,7 +21,7 @@
 struct ConfigurationFeedSettings {
     /// The row that holds the newest configuration whole.
     RowKey row;
-    /// How long one question for changes waits. Bounds for how long a question that the store lost is taken to be under way.
+    /// How long one question for changes waits at first. Bounds for how long a question that the store lost is taken to be under way.
     Duration wait = std::chrono::milliseconds(1500);
     Duration shortestRetry = std::chrono::milliseconds(100);
     Duration longestRetry = std::chrono::milliseconds(600);
@@ -50,6 +50,11 @@
     void start();
     /// No further questions and changes.
     void stop();
+    /// From the next question on, the store may hold one for so long. A longer wait costs fewer questions and finds a lost connection later.
+    void setWait(Duration wait)
+    {
+        m_settings.wait = wait;
+    }
     /// A document that did not come from the store.
     void offered(const std::string &document);
 
--- a/src/coordination/feed/test/configurationfeed_test.cpp
+++ b/src/coordination/feed/test/configurationfeed_test.cpp
@@ -34,6 +34,7 @@
                      .follow =
                          [this](const FollowRows &request, std::function<void(FollowReply)> reply) {
                              m_after = request.after;
+                             m_wait = request.wait;
                              m_followed = std::move(reply);
                          },
                      .runAfter = [this](Duration, std::function<void()> task) { m_task = std::move(task); },
@@ -67,6 +68,7 @@
     std::function<void(FollowReply)> m_followed;
     std::function<void()> m_task;
     RowVersion m_after = 0;
+    Duration m_wait{};
     std::vector<int> m_versions;
     std::vector<std::string> m_problems;
     int m_regained = 0;
@@ -144,4 +146,15 @@
     BOOST_CHECK((rig.m_versions == std::vector<int>{8}));
 }
 
+BOOST_AUTO_TEST_CASE(ALongerWaitHoldsFromTheNextQuestionOn)
+{
+    FeedRig rig;
+    rig.answerRead("1", 5);
+    const Duration first = rig.m_wait;
+    rig.m_feed.setWait(10s);
+    rig.answerFollow(RowsChanged{{}, 5});
+    BOOST_CHECK(rig.m_wait == 10s);
+    BOOST_CHECK(first < rig.m_wait);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/coordination/overload/servicetimes.h
+++ b/src/coordination/overload/servicetimes.h
@@ -8,18 +8,15 @@
 //   times.note(kind, 60ms, now);
 //   if (remaining <= times.longTime(kind, now)) ... // is not going to be answered in time
 
+#include "state/requestkind.h"
 #include "state/time.h"
 
 #include <cstddef>
-#include <cstdint>
 #include <unordered_map>
 
 namespace banyankeel
 {
 
-/// Tells requests of unlike work apart. Chosen by the caller, such as a hash of the route's name; the default is one kind for all.
-enum class RequestKind : std::uint64_t {};
-
 /// The times of one target. Not thread-safe; constant time; bounded in kinds.
 ///
 /// What is known halves for each second without news, so that a few slow requests can't keep all others out.
--- a/src/coordination/retrybudget/serviceretrybudget.cpp
+++ b/src/coordination/retrybudget/serviceretrybudget.cpp
@@ -43,7 +43,7 @@
 double ServiceRetryBudget::left(TimePoint now)
 {
     advance(now);
-    return m_settings.ratio * static_cast<double>(m_requests) + m_settings.slack - static_cast<double>(m_repeats);
+    return m_settings.ratio * static_cast<double>(m_requests) + m_settings.slack - m_repeats;
 }
 
 bool ServiceRetryBudget::take(TimePoint now)
@@ -51,9 +51,20 @@
     if (left(now) < 1) {
         return false;
     }
-    ++m_slices[static_cast<std::size_t>(m_current) % Slices].repeats;
-    ++m_repeats;
+    addRepeats(1);
     return true;
 }
 
+void ServiceRetryBudget::noteInherited(double part, TimePoint now)
+{
+    advance(now);
+    addRepeats(part);
+}
+
+void ServiceRetryBudget::addRepeats(double count)
+{
+    m_slices[static_cast<std::size_t>(m_current) % Slices].repeats += count;
+    m_repeats += count;
+}
+
 } // namespace banyankeel
--- a/src/coordination/retrybudget/serviceretrybudget.h
+++ b/src/coordination/retrybudget/serviceretrybudget.h
@@ -40,6 +40,8 @@
 
     /// A request is sent to the service for the first time.
     void noteRequest(TimePoint now);
+    /// A request that is sent for the first time was made by a run that may have been a repeat itself, and counts as @p part of one.
+    void noteInherited(double part, TimePoint now);
     /// Whether one more repeat is within the budget; it is counted then.
     [[nodiscard]] bool take(TimePoint now);
     /// Repeats that would be within the budget now.
@@ -48,18 +50,19 @@
 private:
     struct Slice {
         std::uint32_t requests = 0;
-        std::uint32_t repeats = 0;
+        double repeats = 0;
     };
     static constexpr std::size_t Slices = 20;
 
     void advance(TimePoint now);
+    void addRepeats(double count);
 
     ServiceRetryBudgetSettings m_settings;
     Duration m_sliceLength;
     std::array<Slice, Slices> m_slices{};
     std::int64_t m_current = 0;
     std::uint64_t m_requests = 0;
-    std::uint64_t m_repeats = 0;
+    double m_repeats = 0;
 };
 
 } // namespace banyankeel
--- a/src/coordination/retrybudget/test/serviceretrybudget_test.cpp
+++ b/src/coordination/retrybudget/test/serviceretrybudget_test.cpp
@@ -49,6 +49,17 @@
     }
 }
 
+// A run that is a repeat makes its calls again: they are repeats at the service below, whoever counts them there.
+BOOST_AUTO_TEST_CASE(CallsOfRepeatedRunsUseUpTheBudgetOfTheServiceBelow)
+{
+    ServiceRetryBudget budget(Settings);
+    for (int n = 0; n < 4; ++n) {
+        budget.noteInherited(0.5, Begin);
+    }
+    BOOST_CHECK(!budget.take(Begin));
+    BOOST_CHECK(budget.take(Begin + 30s));
+}
+
 BOOST_AUTO_TEST_CASE(AnOldWindowIsForgotten)
 {
     ServiceRetryBudget budget(Settings);
--- a/src/mesh/entryrequest.h
+++ b/src/mesh/entryrequest.h
@@ -34,6 +34,9 @@
     std::uint16_t arrivals = 0;
     std::uint16_t refusals = 0;
     std::uint16_t overloads = 0;
+    std::uint16_t rejections = 0;
+    /// How likely the run that made this call was a repeat, as a part of one.
+    double inheritedRepeat = 0;
     /// Some attempt may have run.
     bool mayHaveRun = false;
     /// The caller has left, or was answered.
--- a/src/mesh/meshentry.cpp
+++ b/src/mesh/meshentry.cpp
@@ -1,11 +1,13 @@
 #include "mesh/meshentry.h"
 
+#include "coordination/common/roothash.h"
 #include "mesh/refusal.h"
 #include "mesh/repeatpolicy.h"
 #include "protocol/httpheaders.h"
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <utility>
 #include <vector>
 
@@ -24,11 +26,24 @@
 constexpr Duration AnswerGrace = std::chrono::milliseconds(40);
 // A caller that finds no configuration or no target may come back after this time.
 constexpr Duration RetrySoon = std::chrono::milliseconds(500);
-// The parts of the fleet's ratio that a node spends on requests that a target refused, and on those that may have run. A rerun repeats the
-// calls below it too, which the nodes below count as theirs, so that the ratio has to last for a chain of services.
-constexpr double RejectedPart = 0.5;
+// The parts of the fleet's ratio and slack that a node spends on all repeats, and at the most on those of requests that may have run: such a rerun
+// repeats the calls below it too, which the nodes below must count as repeats whether they like it or not.
+constexpr double UsedPart = 0.85;
 constexpr double RerunPart = 0.15;
-constexpr double SlackPart = 0.4;
+constexpr double SlackPart = 0.8;
+// A caller that was refused because a service is short comes back after this time and up to so much more. Shortages last for seconds.
+constexpr Duration ShortageRetry = std::chrono::seconds(1);
+constexpr Duration ShortageSpread = std::chrono::milliseconds(1500);
+
+RequestId rootOf(const MeshOrganisation *organisation, const std::string &requestId)
+{
+    return RequestId::derive(organisation == nullptr ? InnerCalls.text() : organisation->name.text(), requestId);
+}
+
+PriorityLevel levelOf(const MeshOrganisation *organisation, const MeshRoute &route)
+{
+    return organisation != nullptr && organisation->priority ? *organisation->priority : route.priority;
+}
 
 PriorityLevel rootPriority(PriorityLevel level)
 {
@@ -36,12 +51,14 @@
 }
 } // namespace
 
-MeshEntry::MeshEntry(MeshEntrySettings settings, HeaderDialect headers, MeshEntryHooks hooks, TargetRouter &router, FleetAllowances &allowances)
+MeshEntry::MeshEntry(MeshEntrySettings settings, HeaderDialect headers, MeshEntryHooks hooks, MeshEntryDecisions decisions)
     : m_settings(std::move(settings))
     , m_headers(std::move(headers))
     , m_hooks(std::move(hooks))
-    , m_router(router)
-    , m_allowances(allowances)
+    , m_router(decisions.router)
+    , m_allowances(decisions.allowances)
+    , m_meter(decisions.meter)
+    , m_admission(decisions.admission)
 {
 }
 
@@ -69,8 +86,8 @@
         refuse(respond, requestId, Verdict::refused(Reason::BadRequest), now);
         return;
     }
-    if (caller.organisation != nullptr && !m_allowances.take(caller.organisation->name, now)) {
-        refuse(respond, requestId, Verdict::refused(Reason::RateExceeded, m_allowances.untilNext(caller.organisation->name)), now);
+    if (const std::optional<Verdict> refusal = refusalOfCaller(caller, *route, rootOf(caller.organisation, requestId), now)) {
+        refuse(respond, requestId, *refusal, now);
         return;
     }
     const auto entry = std::make_shared<EntryRequest>(EntryRequest{
@@ -83,8 +100,13 @@
         .received = now,
         .deadline = now + *remaining,
     });
-    budgetsOf(entry->call.service).rejected.noteRequest(now);
-    budgetsOf(entry->call.service).rerun.noteRequest(now);
+    Budgets &budgets = budgetsOf(entry->call.service);
+    budgets.all.noteRequest(now);
+    budgets.rerun.noteRequest(now);
+    if (!caller.isRoot) {
+        noteCall(*entry, now);
+        budgets.all.noteInherited(entry->inheritedRepeat, now);
+    }
     const std::weak_ptr<EntryRequest> weak = entry;
     respond.whenClientLeaves([this, weak] {
         if (const RequestPointer left = weak.lock()) {
@@ -109,6 +131,43 @@
     return {organisation, organisation != nullptr || !route.isAnonymous, std::nullopt};
 }
 
+void MeshEntry::noteCall(EntryRequest &request, TimePoint now)
+{
+    const CallRequest *caller = m_hooks.callerOf(request.requestId);
+    const std::optional<RequestKind> parent = caller == nullptr ? std::nullopt : std::optional(requestKindOf(caller->route));
+    m_meter.called(requestKindOf(request.route->name), parent, request.call.service, now);
+    if (caller == nullptr) {
+        request.inheritedRepeat = m_hooks.repeatPart();
+        return;
+    }
+    constexpr double Percent = 0.01;
+    request.inheritedRepeat = caller->repeatPercent * Percent;
+    request.call.context.root = caller->context.root;
+    request.call.rootKind = caller->rootKind;
+    request.call.rootPriority = caller->rootPriority;
+}
+
+std::optional<Verdict> MeshEntry::refusalOfCaller(const Caller &caller, const MeshRoute &route, const RequestId &root, TimePoint now)
+{
+    if (caller.organisation != nullptr && !m_allowances.take(caller.organisation->name, now)) {
+        return Verdict::refused(Reason::RateExceeded, m_allowances.untilNext(caller.organisation->name));
+    }
+    if (!caller.isRoot) {
+        return std::nullopt;
+    }
+    const RootClass rootClass{levelOf(caller.organisation, route), requestKindOf(route.name)};
+    m_meter.rootOffered(rootClass, now);
+    if (m_admission.admits(rootClass, root, now)) {
+        return std::nullopt;
+    }
+    if (caller.organisation != nullptr) {
+        m_allowances.giveBack(caller.organisation->name);
+    }
+    // Those that come back do so one after the other.
+    const auto spread = std::chrono::duration_cast<Duration>(ShortageSpread * rootShare(root));
+    return Verdict::refused(Reason::Overloaded, ShortageRetry + spread);
+}
+
 std::optional<Duration> MeshEntry::remainingOf(const HttpRequest &request, const MeshRoute &route) const
 {
     const std::optional<std::string_view> value = findHeader(request.headers, m_headers.remainingTime);
@@ -137,8 +196,7 @@
         request.headers.push_back({m_headers.organisation, caller.organisation->name.text()});
     }
     const OrganisationId &organisation = caller.organisation == nullptr ? InnerCalls : caller.organisation->name;
-    const PriorityLevel level = caller.organisation != nullptr && caller.organisation->priority ? *caller.organisation->priority : route.priority;
-    const RequestId root = RequestId::derive(organisation.text(), requestId);
+    const RequestId root = rootOf(caller.organisation, requestId);
     return {
         .attempt = {},
         .context =
@@ -147,7 +205,7 @@
                 .hasStableRoot = false,
                 .organisation = organisation,
                 .key = NoKey,
-                .priority = caller.isRoot ? rootPriority(level) : InnerPriority,
+                .priority = caller.isRoot ? rootPriority(levelOf(caller.organisation, route)) : InnerPriority,
                 .remaining = remaining,
                 .retryBudget = 0,
                 .depth = 0,
@@ -158,6 +216,8 @@
         .repeatId = std::nullopt,
         .targetIncarnation = {},
         .http = std::move(request),
+        .rootKind = requestKindOf(route.name),
+        .rootPriority = levelOf(caller.organisation, route),
     };
 }
 
@@ -168,9 +228,28 @@
         return found->second;
     }
     const double slack = m_settings.retrySlack * SlackPart / static_cast<double>(std::max<std::size_t>(m_hooks.nodes(), 1));
-    const ServiceRetryBudgetSettings rejected{m_settings.retryRatio * RejectedPart, slack, m_settings.retryWindow};
+    const ServiceRetryBudgetSettings all{m_settings.retryRatio * UsedPart, slack, m_settings.retryWindow};
     const ServiceRetryBudgetSettings rerun{m_settings.retryRatio * RerunPart, slack, m_settings.retryWindow};
-    return m_budgets.emplace(service, Budgets{ServiceRetryBudget(rejected), ServiceRetryBudget(rerun)}).first->second;
+    return m_budgets.emplace(service, Budgets{ServiceRetryBudget(all), ServiceRetryBudget(rerun)}).first->second;
+}
+
+double MeshEntry::repeatsLeft(const ServiceName &service)
+{
+    return budgetsOf(service).all.left(m_hooks.now());
+}
+
+bool MeshEntry::takeRepeat(const EntryRequest &request, RepeatKind kind, TimePoint now)
+{
+    // Where repeats are short, they go to the calls of requests that can be finished; and such a request needs no second run.
+    const bool isSpentOnCalls = kind == RepeatKind::Rerun || (kind == RepeatKind::Rejected && !request.isRoot);
+    if (isSpentOnCalls && !m_admission.finishes({request.call.rootPriority, request.call.rootKind}, request.call.context.root, now)) {
+        return false;
+    }
+    Budgets &budgets = budgetsOf(request.call.service);
+    if (kind == RepeatKind::Rerun && (budgets.all.left(now) < 1 || !budgets.rerun.take(now))) {
+        return false;
+    }
+    return kind == RepeatKind::Moved || budgets.all.take(now);
 }
 
 std::optional<Verdict> MeshEntry::attempt(const RequestPointer &request)
@@ -202,7 +281,10 @@
     request->call.context.remaining = request->deadline - now;
     request->call.targetIncarnation = choice.peer.incarnation;
     request->choice = choice;
-    request->tried.push_back(choice.peer.node);
+    request->call.repeatPercent = static_cast<std::uint8_t>(std::lround(100 * (request->arrivals > 0 ? 1 : request->inheritedRepeat)));
+    if (std::ranges::find(request->tried, choice.peer.node) == request->tried.end()) {
+        request->tried.push_back(choice.peer.node);
+    }
     request->attemptStarted = now;
     m_router.begun(choice, now);
     m_requests.emplace(id, request);
@@ -307,25 +389,46 @@
     };
     m_router.completed(*request->choice, outcome, answer == nullptr ? std::nullopt : std::optional(answer->hint), now);
     request->mayHaveRun = request->mayHaveRun || verdict.runState() != RunState::NotRun;
-    // Where no other target is left, what there is goes to the caller.
-    if (mayRepeat(*request, verdict, answer, now) && !attempt(request)) {
+    if (repeat(request, repeatKindOf(*request, verdict, answer, now))) {
         return;
     }
     const bool hidesRun = request->mayHaveRun && verdict.runState() == RunState::NotRun;
     finish(request, hidesRun ? Verdict::unknown(verdict.reason()) : verdict, answer);
 }
 
-bool MeshEntry::mayRepeat(EntryRequest &request, const Verdict &verdict, const CallAnswer *answer, TimePoint now)
+bool MeshEntry::repeat(const RequestPointer &request, RepeatKind kind)
+{
+    if (kind == RepeatKind::None) {
+        return false;
+    }
+    const bool isWithinTargets = kind != RepeatKind::Rejected || request->tried.size() < request->route->maxAttempts;
+    // Where no other target is left, what there is goes to the caller, unless the target that refused it may be asked again.
+    if (isWithinTargets && !attempt(request)) {
+        return true;
+    }
+    if (kind != RepeatKind::Rejected) {
+        return false;
+    }
+    send(request, TargetChoice(*request->choice));
+    return true;
+}
+
+RepeatKind MeshEntry::repeatKindOf(EntryRequest &request, const Verdict &verdict, const CallAnswer *answer, TimePoint now)
 {
-    const bool isArrival = verdict.runState() != RunState::NotRun || verdict.reason() == Reason::TargetFailed;
+    const bool isRejection = verdict.runState() == RunState::NotRun && verdict.reason() == Reason::TargetFailed;
+    const bool isArrival = verdict.runState() != RunState::NotRun || isRejection;
     if (isArrival) {
         ++request.arrivals;
+        request.rejections = static_cast<std::uint16_t>(request.rejections + (isRejection ? 1 : 0));
+        if (!request.isRoot) {
+            m_meter.callArrived(request.call.service, isRejection, now);
+        }
     } else {
         ++request.refusals;
         request.overloads = static_cast<std::uint16_t>(request.overloads + (verdict.reason() == Reason::Overloaded ? 1 : 0));
     }
     if (request.isOver) {
-        return false;
+        return RepeatKind::None;
     }
     const bool hasResponse = answer != nullptr && answer->response.has_value();
     const RepeatKind kind = repeatAfter({
@@ -336,19 +439,10 @@
         .maxArrivals = request.route->maxAttempts,
         .refusals = request.refusals,
         .overloads = request.overloads,
+        .rejections = request.rejections,
         .remaining = request.deadline - now,
     });
-    switch (kind) {
-    case RepeatKind::None:
-        return false;
-    case RepeatKind::Moved:
-        return true;
-    case RepeatKind::Rejected:
-        return budgetsOf(request.call.service).rejected.take(now);
-    case RepeatKind::Rerun:
-        return budgetsOf(request.call.service).rerun.take(now);
-    }
-    return false;
+    return kind != RepeatKind::None && takeRepeat(request, kind, now) ? kind : RepeatKind::None;
 }
 
 void MeshEntry::finish(const RequestPointer &request, Verdict verdict, CallAnswer *answer)
--- a/src/mesh/meshentry.h
+++ b/src/mesh/meshentry.h
@@ -7,9 +7,12 @@
 //   entry.answered(answer);
 
 #include "coordination/allowance/fleetallowances.h"
+#include "coordination/demand/loadmeter.h"
+#include "coordination/demand/rootadmission.h"
 #include "coordination/retrybudget/serviceretrybudget.h"
 #include "coordination/routing/targetrouter.h"
 #include "mesh/entryrequest.h"
+#include "mesh/repeatpolicy.h"
 #include "mesh/splitchoice.h"
 #include "protocol/callmessages.h"
 #include "protocol/headerdialect.h"
@@ -64,13 +67,25 @@
     /// Nodes of the fleet, this one included.
     std::function<std::size_t()> nodes;
     std::function<void(const EntryOutcome &outcome)> ended;
+    /// The part of what runs at this host's target that is a repeat.
+    std::function<double()> repeatPart;
+    /// The request at this host's target that made the call of this id, or null where it is not known. Valid during the call only.
+    std::function<const CallRequest *(std::string_view callId)> callerOf;
+};
+
+/// What decides for an entry; all live longer than it.
+struct MeshEntryDecisions {
+    TargetRouter &router;
+    FleetAllowances &allowances;
+    LoadMeter &meter;
+    RootAdmission &admission;
 };
 
 /// Not thread-safe. Every request is answered exactly once unless its caller leaves.
 class MeshEntry
 {
 public:
-    MeshEntry(MeshEntrySettings settings, HeaderDialect headers, MeshEntryHooks hooks, TargetRouter &router, FleetAllowances &allowances);
+    MeshEntry(MeshEntrySettings settings, HeaderDialect headers, MeshEntryHooks hooks, MeshEntryDecisions decisions);
 
     void received(HttpRequest request, const HttpResponder &respond);
     void answered(CallAnswer answer);
@@ -79,6 +94,9 @@
     /// Ends requests whose time is over.
     void sweep();
 
+    /// Repeats that this node may still make to @p service.
+    [[nodiscard]] double repeatsLeft(const ServiceName &service);
+
     [[nodiscard]] bool isBusy() const
     {
         return !m_requests.empty();
@@ -91,7 +109,8 @@
 private:
     using RequestPointer = std::shared_ptr<EntryRequest>;
     struct Budgets {
-        ServiceRetryBudget rejected;
+        /// All repeats, those included that runs above have brought with them.
+        ServiceRetryBudget all;
         ServiceRetryBudget rerun;
     };
 
@@ -108,8 +127,15 @@
     /// Sends the request to a target. Returns why none can be asked.
     std::optional<Verdict> attempt(const RequestPointer &request);
     void send(const RequestPointer &request, const TargetChoice &choice);
+    /// Repeats the request as @p kind says. False if it can't be.
+    bool repeat(const RequestPointer &request, RepeatKind kind);
     void attemptEnded(const RequestPointer &request, const Verdict &verdict, CallAnswer *answer);
-    [[nodiscard]] bool mayRepeat(EntryRequest &request, const Verdict &verdict, const CallAnswer *answer, TimePoint now);
+    [[nodiscard]] RepeatKind repeatKindOf(EntryRequest &request, const Verdict &verdict, const CallAnswer *answer, TimePoint now);
+    [[nodiscard]] bool takeRepeat(const EntryRequest &request, RepeatKind kind, TimePoint now);
+    /// Counts a call of this host's target, and takes over what is known of the request that made it.
+    void noteCall(EntryRequest &request, TimePoint now);
+    /// What is refused before any target is asked; absent if nothing speaks against it.
+    [[nodiscard]] std::optional<Verdict> refusalOfCaller(const Caller &caller, const MeshRoute &route, const RequestId &root, TimePoint now);
     void finish(const RequestPointer &request, Verdict verdict, CallAnswer *answer);
     void refuse(const HttpResponder &respond, const std::string &requestId, const Verdict &verdict, TimePoint received);
     void callerLeft(const RequestPointer &request);
@@ -122,6 +148,8 @@
     MeshEntryHooks m_hooks;
     TargetRouter &m_router;
     FleetAllowances &m_allowances;
+    LoadMeter &m_meter;
+    RootAdmission &m_admission;
     SplitChoice m_splits;
     std::unordered_map<ServiceName, Budgets> m_budgets;
     std::unordered_map<AttemptId, RequestPointer> m_requests;
--- a/src/mesh/meshnode.cpp
+++ b/src/mesh/meshnode.cpp
@@ -64,13 +64,19 @@
     , m_peers(settings.node)
     , m_allowances({.window = settings.quotaWindow, .overshoot = settings.quotaOvershoot, .slack = settings.quotaSlack})
     , m_router({.ownNode = settings.node, .place = settings.place, .hintEntries = 1024, .placement = Placement::ShortestTime}, systemRandom(), bootTime())
+    , m_meter(settings.service)
+    , m_admission({.retryRatio = settings.retryRatio})
+    , m_load(m_meter.report(
+          0, [](const ServiceName &) { return 0.0; }, bootTime()))
     , m_target(
           context,
           {.target = settings.target, .connections = settings.descriptors / TargetConnectionsShare},
           m_dialect.headers,
           {.now = bootTime,
            .ended =
-               [this](const std::string &requestId, const CallAnswer &answer, Duration waited, Duration ran) { noteAttempt(requestId, answer, waited, ran); }})
+               [this](const std::string &requestId, const CallAnswer &answer, Duration waited, Duration ran) { noteAttempt(requestId, answer, waited, ran); },
+           .runBegan = [this](RequestKind kind) { m_meter.runBegan(kind, bootTime()); },
+           .runEnded = [this](RequestKind kind, Duration time, bool isWhole) { m_meter.runEnded(kind, time, isWhole, bootTime()); }})
     , m_entry({.service = settings.service,
                .self = settings.peers,
                .retryRatio = settings.retryRatio,
@@ -78,8 +84,7 @@
                .retryWindow = settings.retryWindow},
               m_dialect.headers,
               entryHooks(),
-              m_router,
-              m_allowances)
+              {m_router, m_allowances, m_meter, m_admission})
     , m_feed({.row = m_dialect.configurationRow}, feedHooks())
     , m_callers(context,
                 {.listen = settings.callers,
@@ -107,6 +112,8 @@
         .wakeAt = [this](TimePoint time) { wakeEntryAt(time); },
         .nodes = [this] { return m_peers.size() + 1; },
         .ended = [this](const EntryOutcome &outcome) { noteEnded(outcome); },
+        .repeatPart = [this] { return m_target.repeatPart(); },
+        .callerOf = [this](std::string_view callId) { return m_target.callerOf(callId); },
     };
 }
 
@@ -160,6 +167,7 @@
               {"routes", std::to_string(objects.routes.size())},
               {"organisations", std::to_string(objects.organisations.size())}});
     m_allowances.configure(objects.organisations, bootTime());
+    m_admission.configure(objects);
     // A connection that began under a longer idle time is kept for as long as its owner was told.
     m_idleTime = std::max(m_idleTime, objects.limits.idleTime);
     EdgeLimits limits;
@@ -194,6 +202,7 @@
         }
         const TimePoint now = bootTime();
         m_target.sweep();
+        m_meter.noteLoad(m_target.attempts(), now);
         reportIfDue(now);
         if (now - m_rosterAt >= RosterInterval) {
             readRoster();
--- a/src/mesh/meshnode_fleet.cpp
+++ b/src/mesh/meshnode_fleet.cpp
@@ -23,6 +23,11 @@
 constexpr Duration UrgentReportInterval = 100ms;
 // One in so many is complete, in case a peer missed what changed.
 constexpr std::uint32_t BriefReports = 10;
+// A change reaches every node from the store at once, over the question that it has open. So many nodes ask anew often, so that a connection that
+// went silent is found; the others hear of a missed change in the reports of these, within a second.
+constexpr std::size_t ConfigurationReaders = 4;
+constexpr Duration ReaderWait = 1500ms;
+constexpr Duration FollowerWait = 10s;
 // A peer that reports every second is silent after two missed reports and the way.
 constexpr Duration PeerSilence = 2200ms;
 // A peer that is gone for good stays in the store's roster; it is not asked for longer than cuts and restarts last.
@@ -197,6 +202,9 @@
     }
     const bool wasReachable = peer.isReachable;
     setReachable(peer, true, "report");
+    if (report.load) {
+        m_admission.noteReport(from.node, *report.load, now);
+    }
     m_allowances.noteReport(from.node, {report.uses, report.isComplete, isNewProcess}, now);
     applyTarget(m_life.learn(report.leavingsOfReceiver));
     if (report.configuration > m_feed.version()) {
@@ -249,6 +257,7 @@
         .leavingsOfReceiver = to.leavings,
         .uses = m_allowances.reported(),
         .isStopping = m_isStopping,
+        .load = m_load,
     };
     m_network->send(to.peer.endpoint, report.encode());
 }
@@ -260,6 +269,7 @@
     }
     m_reportedAt = bootTime();
     m_lastReportAt = m_reportedAt;
+    measureLoad(m_reportedAt);
     // Also settles what peers know by the reports to come.
     static_cast<void>(m_allowances.report(ReportScope::Complete, m_reportedAt));
     for (const auto &[node, peer] : m_peers.all()) {
@@ -282,6 +292,7 @@
         .leavingsOfReceiver = {},
         .uses = m_allowances.report(scope, m_lastReportAt),
         .isStopping = m_isStopping,
+        .load = scope == ReportScope::Changed ? std::optional(measureLoad(m_lastReportAt)) : std::nullopt,
     };
     for (const auto &[node, peer] : m_peers.all()) {
         m_network->send(peer.peer.endpoint, report.encode());
@@ -292,6 +303,7 @@
 {
     if (now - m_reportedAt >= ReportInterval) {
         checkPeers(now);
+        m_feed.setWait(m_peers.isAmongFirst(ConfigurationReaders) ? ReaderWait : FollowerWait);
         m_briefReports = (m_briefReports + 1) % BriefReports;
         if (m_briefReports == 0) {
             sendCompleteReports(false);
@@ -299,11 +311,48 @@
             sendBriefReports(ReportScope::Changed);
             m_reportedAt = now;
         }
-    } else if (now - m_lastReportAt >= UrgentReportInterval && m_allowances.isReportUrgent(now)) {
+        logShortage();
+    } else if (now - m_lastReportAt < UrgentReportInterval) {
+        return;
+    } else if (m_meter.isReportUrgent(m_load, now)) {
+        sendBriefReports(ReportScope::Changed);
+    } else if (m_allowances.isReportUrgent(now)) {
         sendBriefReports(ReportScope::Urgent);
     }
 }
 
+const LoadReport &MeshNode::Impl::measureLoad(TimePoint now)
+{
+    m_load = m_meter.report(
+        m_target.slots(), [this](const ServiceName &service) { return m_entry.repeatsLeft(service); }, now);
+    m_admission.noteReport(m_settings.node, m_load, now);
+    return m_load;
+}
+
+std::string MeshNode::Impl::textOf(const RootParts &parts) const
+{
+    std::string text;
+    for (const MeshRoute &route : m_feed.current()->objects().routes) {
+        for (const auto &[rootClass, part] : parts) {
+            if (rootClass.kind == requestKindOf(route.name)) {
+                text += fmt::format("{}{}:{}={:.2f}", text.empty() ? "" : ",", route.name.text(), static_cast<int>(rootClass.priority), part);
+            }
+        }
+    }
+    return text;
+}
+
+void MeshNode::Impl::logShortage()
+{
+    const bool isShort = !m_admission.admitted().empty() || !m_admission.finished().empty();
+    if (isShort) {
+        logEvent(LogLevel::Info, "shortage", {{"admitted", textOf(m_admission.admitted())}, {"finished", textOf(m_admission.finished())}});
+    } else if (m_isShort) {
+        logEvent(LogLevel::Info, "shortage-ended");
+    }
+    m_isShort = isShort;
+}
+
 void MeshNode::Impl::checkPeers(TimePoint now)
 {
     for (KnownPeer *it : m_peers.silent(now, PeerSilence)) {
--- a/src/mesh/meshnodeimpl.h
+++ b/src/mesh/meshnodeimpl.h
@@ -2,6 +2,8 @@
 
 // The parts of one node and the hooks between them. Its functions stand in three sources: what runs it, its fleet and its target.
 
+#include "coordination/demand/loadmeter.h"
+#include "coordination/demand/rootadmission.h"
 #include "coordination/feed/configurationfeed.h"
 #include "coordination/targetlife/targetlife.h"
 #include "edge/edgeserver.h"
@@ -66,6 +68,11 @@
     /// Tells all peers what changed, which most of the time is little.
     void sendBriefReports(ReportScope scope);
     void reportIfDue(TimePoint now);
+    /// Measures the load anew; the decisions of this node use the same report as those of its peers.
+    const LoadReport &measureLoad(TimePoint now);
+    void logShortage();
+    /// Parts by route and priority, for the log.
+    std::string textOf(const RootParts &parts) const;
 
     void tick();
     void checkPeers(TimePoint now);
@@ -88,6 +95,10 @@
     std::optional<StoredTarget> m_storedTarget;
     FleetAllowances m_allowances;
     TargetRouter m_router;
+    LoadMeter m_meter;
+    RootAdmission m_admission;
+    /// As of the last report.
+    LoadReport m_load;
     MeshTarget m_target;
     MeshEntry m_entry;
     ConfigurationFeed m_feed;
@@ -105,6 +116,7 @@
     TimePoint m_rosterAt{};
     Duration m_idleTime = Duration::zero();
     BoundedLog m_requestLog;
+    bool m_isShort = false;
     bool m_isRegistered = false;
     bool m_isStopping = false;
     bool m_isDead = false;
--- a/src/mesh/meshpeers.cpp
+++ b/src/mesh/meshpeers.cpp
@@ -1,5 +1,7 @@
 #include "mesh/meshpeers.h"
 
+#include "coordination/routing/rootcandidates.h"
+
 #include <algorithm>
 
 namespace banyankeel
@@ -76,6 +78,13 @@
     return lost;
 }
 
+bool MeshPeers::isAmongFirst(std::size_t count) const
+{
+    const std::uint64_t own = targetNameHash(m_self.text());
+    const auto before = std::ranges::count_if(m_peers, [own](const auto &it) { return it.second.isReachable && targetNameHash(it.first.text()) < own; });
+    return static_cast<std::size_t>(before) < count;
+}
+
 void MeshPeers::forget(const NodeId &node)
 {
     m_peers.erase(node);
--- a/src/mesh/meshpeers.h
+++ b/src/mesh/meshpeers.h
@@ -48,6 +48,9 @@
     /// Forgets peers that were not heard for @p limit. Returns them.
     std::vector<NodeId> dropLost(TimePoint now, Duration limit);
     void forget(const NodeId &node);
+    /// Whether this node is one of the first @p count of those that are reachable, in an order that is the same on all nodes and spreads over
+    /// failure domains.
+    [[nodiscard]] bool isAmongFirst(std::size_t count) const;
 
     [[nodiscard]] std::map<NodeId, KnownPeer> &all()
     {
--- a/src/mesh/meshtarget.cpp
+++ b/src/mesh/meshtarget.cpp
@@ -28,12 +28,6 @@
     return std::max<std::uint32_t>(static_cast<std::uint32_t>(slots * UsedSlots), 1);
 }
 
-/// Requests of one route do about the same work.
-RequestKind kindOf(const RouteName &route)
-{
-    return static_cast<RequestKind>(std::hash<RouteName>()(route));
-}
-
 CompletionKind completionOf(const CallOutcome &outcome)
 {
     if (outcome.response) {
@@ -112,9 +106,10 @@
         .priority = request.context.priority,
         .weight = 1,
         .deadline = now + request.context.remaining,
-        .kind = kindOf(request.route),
+        .kind = requestKindOf(request.route),
     };
     const Key key{sender, request.attempt};
+    const double repeatPart = request.repeatPercent / 100.0;
     std::string requestId(findHeader(request.http.headers, m_headers.requestId).value_or(""));
     Attempt &attempt = m_attempts
                            .emplace(ticket,
@@ -123,7 +118,9 @@
                                             .requestId = std::move(requestId),
                                             .reply = std::move(reply),
                                             .received = now,
-                                            .deadline = offer.deadline})
+                                            .deadline = offer.deadline,
+                                            .kind = offer.kind,
+                                            .repeatPart = repeatPart})
                            .first->second;
     m_byKey[key] = ticket;
     if (const std::optional<Verdict> refusal = refusalBeforeAdmission(now)) {
@@ -165,8 +162,7 @@
         apply(actions);
         return;
     }
-    attempt.started = now;
-    attempt.isRunning = true;
+    beginRun(attempt, now);
     HttpRequest http = std::move(attempt.request.http);
     http.headers.push_back({m_headers.remainingTime, std::to_string(std::chrono::floor<std::chrono::milliseconds>(remaining).count())});
     http.headers.push_back({m_headers.expectedTarget, m_boot->name});
@@ -192,12 +188,44 @@
     }
     CallOutcome outcome = outcomeOf(m_headers, std::move(result));
     const Completion completion{now - found->second.started, completionOf(outcome)};
+    endRun(found->second, now, outcome.response.has_value());
     AdmissionActions actions;
     m_admission->complete(ticket, completion, now, actions);
     answer(found->second, outcome.verdict, std::move(outcome.response));
     apply(actions);
 }
 
+void MeshTarget::beginRun(Attempt &attempt, TimePoint now)
+{
+    attempt.started = now;
+    attempt.isRunning = true;
+    ++m_running;
+    m_runningRepeats += attempt.repeatPart;
+    m_byRequestId[attempt.requestId] = m_byKey.at(attempt.key);
+    m_hooks.runBegan(attempt.kind);
+}
+
+void MeshTarget::endRun(const Attempt &attempt, TimePoint now, bool isWhole)
+{
+    --m_running;
+    m_runningRepeats = m_running == 0 ? 0 : m_runningRepeats - attempt.repeatPart;
+    m_byRequestId.erase(attempt.requestId);
+    m_hooks.runEnded(attempt.kind, now - attempt.started, isWhole);
+}
+
+const CallRequest *MeshTarget::callerOf(std::string_view callId) const
+{
+    // Targets that trace their calls name them after the request: its id, a dot, and a part of the call's own. Others' calls are nobody's.
+    const std::size_t dot = callId.rfind('.');
+    const auto found = dot == std::string_view::npos ? m_byRequestId.end() : m_byRequestId.find(std::string(callId.substr(0, dot)));
+    return found == m_byRequestId.end() ? nullptr : &m_attempts.at(found->second).request;
+}
+
+std::uint32_t MeshTarget::slots() const
+{
+    return m_isServing && m_admission ? m_admission->limit(m_hooks.now()) : 0;
+}
+
 void MeshTarget::refuse(Attempt &attempt, const Verdict &verdict)
 {
     answer(attempt, verdict, std::nullopt);
@@ -237,6 +265,7 @@
     const TimePoint now = m_hooks.now();
     AdmissionActions actions;
     if (found->second.isRunning) {
+        endRun(found->second, now, false);
         m_pool.cancel(found->second.call);
         m_admission->complete(ticket, {now - found->second.started, CompletionKind::Cancelled}, now, actions);
     } else {
--- a/src/mesh/meshtarget.h
+++ b/src/mesh/meshtarget.h
@@ -11,6 +11,7 @@
 #include "protocol/callmessages.h"
 #include "protocol/headerdialect.h"
 #include "state/endpoint.h"
+#include "state/requestkind.h"
 #include "state/targetreport.h"
 #include "state/time.h"
 
@@ -36,6 +37,9 @@
     std::function<TimePoint()> now;
     /// One attempt ended at this node, for logs and metrics.
     std::function<void(const std::string &requestId, const CallAnswer &answer, Duration waited, Duration ran)> ended;
+    /// A request begins to run at the target, and ends there. @param isWhole whether the target answered.
+    std::function<void(RequestKind kind)> runBegan;
+    std::function<void(RequestKind kind, Duration time, bool isWhole)> runEnded;
 };
 
 /// Runs on the context's thread. Every request is answered exactly once unless it is cancelled.
@@ -71,6 +75,15 @@
         m_pool.reset();
     }
 
+    /// The request that runs at the target and made the call @p callId, or null where the id does not tell.
+    [[nodiscard]] const CallRequest *callerOf(std::string_view callId) const;
+    /// What may run at once; zero while the target takes no requests.
+    [[nodiscard]] std::uint32_t slots() const;
+    /// The part of what runs that is a repeat, or was made by one.
+    [[nodiscard]] double repeatPart() const
+    {
+        return m_running == 0 ? 0 : m_runningRepeats / static_cast<double>(m_running);
+    }
     [[nodiscard]] bool isBusy() const
     {
         return !m_attempts.empty();
@@ -97,12 +110,16 @@
         TimePoint started{};
         PoolCallId call{};
         bool isRunning = false;
+        RequestKind kind{};
+        double repeatPart = 0;
     };
 
     void apply(AdmissionActions &actions);
     void run(AttemptTicket ticket);
     void finished(AttemptTicket ticket, HttpResult result);
     void refuse(Attempt &attempt, const Verdict &verdict);
+    void beginRun(Attempt &attempt, TimePoint now);
+    void endRun(const Attempt &attempt, TimePoint now, bool isWhole);
     void answer(Attempt &attempt, const Verdict &verdict, std::optional<HttpResponse> response);
     void cancel(AttemptTicket ticket);
     [[nodiscard]] std::optional<Verdict> refusalBeforeAdmission(TimePoint now) const;
@@ -118,8 +135,12 @@
     /// After a failed connection, requests are refused for a moment: the target has crashed or is starting.
     TimePoint m_unreachableUntil{};
     std::uint64_t m_lastTicket = 0;
+    std::size_t m_running = 0;
+    double m_runningRepeats = 0;
     std::unordered_map<AttemptTicket, Attempt> m_attempts;
     std::map<Key, AttemptTicket> m_byKey;
+    /// Of what runs.
+    std::unordered_map<std::string, AttemptTicket> m_byRequestId;
 };
 
 } // namespace banyankeel
--- a/src/mesh/repeatpolicy.cpp
+++ b/src/mesh/repeatpolicy.cpp
@@ -11,6 +11,8 @@
 constexpr std::uint16_t MaxRefusals = 4;
 // What one node refuses for overload, another may have room for; more tries would only add to the load.
 constexpr std::uint16_t MaxOverloads = 2;
+// Targets that reject more than half of what they get let a request through within so many tries, nearly always.
+constexpr std::uint16_t MaxRejections = 8;
 constexpr int FirstServerError = 500;
 constexpr int GatewayTimeout = 504;
 
@@ -18,7 +20,8 @@
 {
     switch (attempt.verdict.reason()) {
     case Reason::TargetFailed:
-        return attempt.arrivals < attempt.maxArrivals ? RepeatKind::Rejected : RepeatKind::None;
+        // Nothing has run: how often it may be sent again is for the budget, at how many targets for the route.
+        return attempt.rejections < MaxRejections ? RepeatKind::Rejected : RepeatKind::None;
     case Reason::DeadlineExpired:
     case Reason::Cancelled:
     case Reason::Quarantined:
--- a/src/mesh/repeatpolicy.h
+++ b/src/mesh/repeatpolicy.h
@@ -28,6 +28,8 @@
     /// Attempts that nodes refused before they reached their target, this one included; and how many of these for overload.
     std::uint16_t refusals;
     std::uint16_t overloads;
+    /// Attempts that targets refused without having run them, this one included.
+    std::uint16_t rejections;
     Duration remaining;
 
     friend auto operator<=>(const EndedAttempt &, const EndedAttempt &) = default;
@@ -38,7 +40,7 @@
     None,
     /// No target saw the request: trying another one adds no load.
     Moved,
-    /// A target saw the request and refused it: one more arrival.
+    /// A target saw the request and refused it: one more arrival, at a further target while maxArrivals allows one, else at one that refused it.
     Rejected,
     /// The request may have run, with all the calls that it makes: they come again as well.
     Rerun,
--- a/src/mesh/test/decisions_test.cpp
+++ b/src/mesh/test/decisions_test.cpp
@@ -38,6 +38,7 @@
         .maxArrivals = 2,
         .refusals = 1,
         .overloads = 0,
+        .rejections = 0,
         .remaining = 1s,
     };
 }
@@ -76,9 +77,17 @@
     BOOST_CHECK(repeatAfter(attempt(Verdict::refused(Reason::ConnectionLost), false)) == RepeatKind::Moved);
     BOOST_CHECK(repeatAfter(attempt(Verdict::refused(Reason::Draining), false)) == RepeatKind::Moved);
     BOOST_CHECK(repeatAfter(attempt(Verdict::refused(Reason::TargetFailed), false)) == RepeatKind::Rejected);
+    // Not run at any of the targets that it may be sent to: it may be sent to one of them again, a few times.
     EndedAttempt spent = attempt(Verdict::refused(Reason::TargetFailed));
     spent.arrivals = spent.maxArrivals;
+    spent.rejections = spent.maxArrivals;
+    BOOST_CHECK(repeatAfter(spent) == RepeatKind::Rejected);
+    spent.rejections = 8;
     BOOST_CHECK(repeatAfter(spent) == RepeatKind::None);
+    // What may have run at as many targets as allowed is sent nowhere any more.
+    EndedAttempt ran = attempt(Verdict::unknown(Reason::ConnectionLost));
+    ran.arrivals = ran.maxArrivals;
+    BOOST_CHECK(repeatAfter(ran) == RepeatKind::None);
 }
 
 BOOST_AUTO_TEST_CASE(OverloadIsTriedAtOneOtherTargetAtTheMost)
--- a/src/protocol/callmessages.cpp
+++ b/src/protocol/callmessages.cpp
@@ -154,6 +154,9 @@
     writer.text(http.target);
     writeHeaders(writer, http.headers);
     writer.bytes(http.body);
+    writer.compactNumber(repeatPercent);
+    writer.compactNumber(static_cast<std::uint64_t>(rootKind));
+    writer.compactNumber(static_cast<std::uint64_t>(rootPriority));
     return {MessageType::CallRequest, writer.take()};
 }
 
@@ -173,8 +176,22 @@
     http.target = reader.text("target");
     http.headers = readHeaders(reader);
     http.body = reader.bytes("body");
+    constexpr std::uint64_t HighestPercent = 100;
+    const auto repeatPercent = static_cast<std::uint8_t>(reader.number("repeat percent", HighestPercent));
+    const auto rootKind = static_cast<RequestKind>(reader.number("root kind", std::numeric_limits<std::uint32_t>::max()));
+    const auto rootPriority = static_cast<PriorityLevel>(reader.number("root priority", std::numeric_limits<std::uint8_t>::max()));
     reader.finish();
-    return {attempt, std::move(context), std::move(service), std::move(route), claim, repeatId, incarnation, std::move(http)};
+    return {attempt,
+            std::move(context),
+            std::move(service),
+            std::move(route),
+            claim,
+            repeatId,
+            incarnation,
+            std::move(http),
+            repeatPercent,
+            rootKind,
+            rootPriority};
 }
 
 Envelope CallAnswer::encode() const
--- a/src/protocol/callmessages.h
+++ b/src/protocol/callmessages.h
@@ -7,6 +7,7 @@
 #include "state/callcontext.h"
 #include "state/identifier.h"
 #include "state/peer.h"
+#include "state/requestkind.h"
 #include "state/verdict.h"
 
 #include <compare>
@@ -36,6 +37,11 @@
     /// The incarnation that the sender chose; a node with another one refuses.
     Incarnation targetIncarnation;
     HttpRequest http;
+    /// How likely this is a repeat, or was made by a run that was one, in hundredths: it counts as so much of a repeat at its service.
+    std::uint8_t repeatPercent = 0;
+    /// Of the request from outside the fleet that all of this is done for, where it is known; otherwise of this request.
+    RequestKind rootKind{};
+    PriorityLevel rootPriority{};
 
     [[nodiscard]] Envelope encode() const;
     /// @throws ProtocolError, IdentifierError on malformed payloads.
--- a/src/protocol/nodereport.cpp
+++ b/src/protocol/nodereport.cpp
@@ -89,6 +89,11 @@
     writeLeavings(writer, leavingsOfReceiver);
     writeUses(writer, uses);
     writer.flag(isStopping);
+    if (load) {
+        writeLoadReport(writer, *load);
+    } else {
+        writer.absent();
+    }
     return {MessageType::NodeReport, writer.take()};
 }
 
@@ -107,6 +112,10 @@
     std::vector<TargetLeaving> leavingsOfReceiver = readLeavings(reader);
     std::vector<OrganisationUse> uses = readUses(reader);
     const bool isStopping = reader.flag("stopping");
+    std::optional<LoadReport> load;
+    if (!reader.absent()) {
+        load = readLoadReport(reader);
+    }
     reader.finish();
     return {
         asksReply,
@@ -117,6 +126,7 @@
         std::move(leavingsOfReceiver),
         std::move(uses),
         isStopping,
+        std::move(load),
     };
 }
 
--- a/src/protocol/nodereport.h
+++ b/src/protocol/nodereport.h
@@ -3,6 +3,7 @@
 // What nodes tell each other about once a second: the configuration that they have, their target, and what organisations used.
 
 #include "protocol/envelope.h"
+#include "protocol/loadreport.h"
 #include "state/identifier.h"
 #include "state/meshconfiguration.h"
 #include "state/targetrecord.h"
@@ -55,6 +56,8 @@
     std::vector<OrganisationUse> uses;
     /// The sender takes no more work.
     bool isStopping;
+    /// Absent where there is no news of it.
+    std::optional<LoadReport> load = std::nullopt;
 
     [[nodiscard]] Envelope encode() const;
     /// @throws ProtocolError, IdentifierError, ValueError on malformed payloads.
--- /dev/null
+++ b/src/protocol/test/nodereport_test.cpp
@@ -0,0 +1,43 @@
+#include "protocol/nodereport.h"
+
+#include "protocol/test/messagechecks.h"
+
+using namespace banyankeel;
+using namespace banyankeel::testing;
+
+BOOST_AUTO_TEST_SUITE(nodereport)
+
+BOOST_AUTO_TEST_CASE(ACompleteReportReadsBack)
+{
+    const Peer peer{NodeId("host-1"), Incarnation{7}, {RegionName("north"), FailureDomainName("north-a")}, Endpoint("10.0.0.1", 7000)};
+    checkReadsBack(NodeReport{
+        .asksReply = true,
+        .isComplete = true,
+        .configuration = ConfigurationVersion{12},
+        .target = TargetRecord{peer, ServiceName("archive"), TargetState::Serving, 8, 8, 3},
+        .leavings = {{"i-1", WallTime(std::chrono::seconds(5))}},
+        .leavingsOfReceiver = {{"i-2", WallTime::max()}},
+        .uses = {{OrganisationId("amsel"), -3, 0.25}, {OrganisationId("star"), 100'000, 12.5}},
+        .isStopping = false,
+        .load = LoadReport{ServiceName("archive"), 8, 2.5, {}, {}, {}, {}},
+    });
+}
+
+BOOST_AUTO_TEST_CASE(ABriefReportWithoutNewsIsSmall)
+{
+    const NodeReport report{
+        .asksReply = false,
+        .isComplete = false,
+        .configuration = ConfigurationVersion{12},
+        .target = std::nullopt,
+        .leavings = {},
+        .leavingsOfReceiver = {},
+        .uses = {},
+        .isStopping = false,
+    };
+    checkReadsBack(report);
+    constexpr std::size_t MostBytes = 16;
+    BOOST_TEST(report.encode().payload.size() <= MostBytes);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
