A stopping node takes nothing that may outlast it

Callers that were not told of the stop, or that stay because most nodes of their zone are out, keep coming until the end. Ruled out: the drain of the target (another node's target ran it), the answer being late (it needs 1 s by itself). Change: 2.9 s after the order, a request is taken only if its own time limit is over before the process ends; others get 503, not run. Test: AStoppingNodeTakesNothingThatMayOutlastIt; with it a rig for the entry on a virtual clock, which also guards the limit on targets of a rejected request, the root of a call, and that repeats are not spent on what can't be finished.

--- a/src/coordination/demand/calllearner.h
+++ b/src/coordination/demand/calllearner.h
@@ -25,8 +25,8 @@
 
 /// The calls of one target. Not thread-safe; a call takes time linear in the kinds that run, of which there are few.
 ///
-/// A call of which the run is not known is shared out among the kinds that run at that moment, in proportion to how many runs there are and how often that kind is known
-/// to call (expectation maximisation). Moments at which only some kinds run set the kinds apart.
+/// A call of which the run is not known is shared out among the kinds that run at that moment, in proportion to how many runs there are and how often that kind
+/// is known to call (expectation maximisation). Moments at which only some kinds run set the kinds apart.
 class CallLearner
 {
 public:
--- a/src/coordination/demand/test/rootadmission_test.cpp
+++ b/src/coordination/demand/test/rootadmission_test.cpp
@@ -1,6 +1,6 @@
-#include "coordination/demand/loadmeter.h"
 #include "coordination/common/random.h"
 #include "coordination/common/roothash.h"
+#include "coordination/demand/loadmeter.h"
 #include "coordination/demand/rootadmission.h"
 #include "state/errors.h"
 
@@ -251,7 +251,8 @@
     for (int n = 0; n < 200; ++n) {
         call(false);
     }
-    const LoadReport before = meter.report(10, [](const ServiceName &) { return 0.0; }, now);
+    const LoadReport before = meter.report(
+        10, [](const ServiceName &) { return 0.0; }, now);
     BOOST_TEST(!meter.isReportUrgent(before, now));
     for (int n = 0; n < 200; ++n) {
         call(n % 2 == 0);
@@ -261,7 +262,8 @@
 
 BOOST_AUTO_TEST_CASE(AReportReadsBack)
 {
-    const LoadReport report{Monitor, 20, 12.5, {{Order, PriorityLevel{3}, 7.25}}, {{Order, Telemetry, 4, 100}}, {{Telemetry, 8, 0.0625}}, {{Monitor, 16, 0.5, 12}}};
+    const LoadReport report{
+        Monitor, 20, 12.5, {{Order, PriorityLevel{3}, 7.25}}, {{Order, Telemetry, 4, 100}}, {{Telemetry, 8, 0.0625}}, {{Monitor, 16, 0.5, 12}}};
     WireWriter writer;
     writeLoadReport(writer, report);
     const std::string bytes = writer.take();
--- a/src/mesh/meshentry.cpp
+++ b/src/mesh/meshentry.cpp
@@ -86,6 +86,10 @@
         refuse(respond, requestId, Verdict::refused(Reason::BadRequest), now);
         return;
     }
+    if (m_stop && now > m_stop->lastArrival && now + *remaining > m_stop->end) {
+        refuse(respond, requestId, Verdict::refused(Reason::Draining, RetrySoon), now);
+        return;
+    }
     if (const std::optional<Verdict> refusal = refusalOfCaller(caller, *route, rootOf(caller.organisation, requestId), now)) {
         refuse(respond, requestId, *refusal, now);
         return;
@@ -354,6 +358,11 @@
     }
 }
 
+void MeshEntry::stopAt(TimePoint lastArrival, TimePoint end)
+{
+    m_stop = Stop{lastArrival, end};
+}
+
 void MeshEntry::callerLeft(const RequestPointer &request)
 {
     if (request->isOver) {
--- a/src/mesh/meshentry.h
+++ b/src/mesh/meshentry.h
@@ -93,6 +93,8 @@
     void peerLost(const Endpoint &peer, bool mayHaveArrived);
     /// Ends requests whose time is over.
     void sweep();
+    /// The process ends at @p end. Requests that come after @p lastArrival are taken only if their time is over before.
+    void stopAt(TimePoint lastArrival, TimePoint end);
 
     /// Repeats that this node may still make to @p service.
     [[nodiscard]] double repeatsLeft(const ServiceName &service);
@@ -108,6 +110,10 @@
 
 private:
     using RequestPointer = std::shared_ptr<EntryRequest>;
+    struct Stop {
+        TimePoint lastArrival;
+        TimePoint end;
+    };
     struct Budgets {
         /// All repeats, those included that runs above have brought with them.
         ServiceRetryBudget all;
@@ -155,6 +161,7 @@
     std::unordered_map<AttemptId, RequestPointer> m_requests;
     std::multimap<TimePoint, AttemptId> m_deadlines;
     std::uint64_t m_lastAttempt = 0;
+    std::optional<Stop> m_stop;
 };
 
 } // namespace banyankeel
--- a/src/mesh/meshnode.cpp
+++ b/src/mesh/meshnode.cpp
@@ -24,6 +24,8 @@
 // Callers hear from the readiness address within two seconds that a stopping node takes no more of them.
 constexpr Duration NewsOfStop = 2500ms;
 constexpr Duration StopTick = 50ms;
+// Callers that were not told come for a little longer; after that only what ends in time is taken.
+constexpr Duration LateArrival = 2900ms;
 // Most requests at a target end within this time; peers send it no new ones meanwhile.
 constexpr Duration TargetDrainTime = 900ms;
 // Left of the grace period when requests under way are given up.
@@ -261,6 +263,7 @@
     m_isStopping = true;
     m_stopAt = bootTime();
     m_stopped = std::move(stopped);
+    m_entry.stopAt(m_stopAt + LateArrival, m_stopAt + m_settings.gracePeriod - StopReserve);
     logEvent(LogLevel::Info, "stopping", {{"requests", std::to_string(m_entry.requests())}, {"attempts", std::to_string(m_target.attempts())}});
     checkStop();
 }
--- /dev/null
+++ b/src/mesh/test/meshentry_test.cpp
@@ -0,0 +1,251 @@
+#include "mesh/meshentry.h"
+
+#include "coordination/common/random.h"
+#include "coordination/common/roothash.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <deque>
+#include <set>
+#include <string>
+
+using namespace banyankeel;
+using namespace std::chrono_literals;
+
+namespace
+{
+const TimePoint Begin{1'000s};
+const ServiceName Dispatch("dispatch");
+const ServiceName Monitor("monitor");
+const Place Here{RegionName("north"), FailureDomainName("north-a")};
+constexpr std::uint16_t MaxAttempts = 2;
+
+HeaderDialect headers()
+{
+    return {
+        .requestId = "Id",
+        .remainingTime = "Time-Left",
+        .authorization = "Authorization",
+        .authorizationScheme = "Token ",
+        .organisation = "Organisation",
+        .callerService = "Caller",
+        .expectedTarget = "Expected",
+        .targetName = "Target",
+        .targetSignature = "Signature",
+        .notRun = "Not-Run",
+        .retryAfter = "Retry-After",
+    };
+}
+
+MeshRoute routeOf(const std::string &name, const ServiceName &service, bool isAnonymous)
+{
+    return {
+        .name = RouteName(name),
+        .host = "h",
+        .pathPrefix = "/" + name + "/",
+        .repeatability = Repeatability::Idempotent,
+        .timeLimit = 5s,
+        .targetLatency = 1s,
+        .priority = PriorityLevel{2},
+        .services = {{service, 1}},
+        .maxAttempts = MaxAttempts,
+        .isAnonymous = isAnonymous,
+    };
+}
+
+/// One entry on a virtual clock. Targets stand on three other nodes; the test answers for them.
+class EntryRig
+{
+public:
+    EntryRig()
+        : m_allowances({.window = 5s, .overshoot = 0.1, .slack = 20})
+        , m_router({.ownNode = NodeId("self"), .place = Here, .placement = Placement::ShortestTime}, seededRandom(5), Begin)
+        , m_meter(Dispatch)
+        , m_admission({.retryRatio = 0.2})
+        , m_entry({.service = Dispatch, .self = Endpoint("127.0.0.1", 1), .retryRatio = 0.2, .retrySlack = 100, .retryWindow = 10s},
+                  headers(),
+                  {
+                      .now = [this] { return now; },
+                      .configuration = [this] { return m_configuration; },
+                      .send =
+                          [this](const Endpoint &to, const Envelope &message) {
+                              if (message.type == MessageType::CallRequest) {
+                                  sent.emplace_back(to, CallRequest::decode(message));
+                              }
+                              return true;
+                          },
+                      .runHere = [](const CallRequest &, const std::function<void(CallAnswer)> &) {},
+                      .cancelHere = [](AttemptId) {},
+                      .wakeAt = [](TimePoint) {},
+                      .nodes = [] { return std::size_t{1}; },
+                      .ended = [](const EntryOutcome &) {},
+                      .repeatPart = [] { return 0.0; },
+                      .callerOf = [this](std::string_view id) { return caller && id.starts_with("parent.") ? &*caller : nullptr; },
+                  },
+                  {m_router, m_allowances, m_meter, m_admission})
+    {
+        MeshObjects objects{.version = ConfigurationVersion{1},
+                            .routes = {routeOf("status", Monitor, false), routeOf("telemetry", Monitor, true)},
+                            .services = {{Dispatch, "/", 10}, {Monitor, "/", 10}},
+                            .organisations = {{OrganisationId("amsel"), {"key"}, std::nullopt, 0, 0}},
+                            .limits = {}};
+        m_admission.configure(objects);
+        m_configuration = std::make_shared<const MeshConfiguration>(std::move(objects));
+        for (std::uint16_t n = 1; n <= 3; ++n) {
+            const Peer peer{NodeId("node-" + std::to_string(n)), Incarnation{1}, Here, Endpoint("127.0.0.1", static_cast<std::uint16_t>(100 + n))};
+            m_router.update(TargetRecord{peer, Monitor, TargetState::Serving, 50, 50, 1}, now);
+        }
+    }
+
+    /// Statuses of the answers come into statuses.
+    void ask(const std::string &id, const std::string &route, Duration limit = 5s)
+    {
+        HttpRequest request{.method = "GET", .target = "/" + route + "/x", .headers = {{"Host", "h"}, {"Id", id}}, .body = {}};
+        request.headers.push_back({"Time-Left", std::to_string(limit / 1ms)});
+        if (route == "status") {
+            request.headers.push_back({"Authorization", "Token key"});
+        }
+        m_entry.received(std::move(request), [this](const HttpResponse &response) { statuses.push_back(response.status); });
+    }
+    /// Answers the last call that was sent.
+    void answerLast(const Verdict &verdict)
+    {
+        m_entry.answered({sent.back().second.attempt, verdict, std::nullopt, {PriorityLevel{255}, 1, 1, 50}, 0});
+    }
+    [[nodiscard]] std::set<Endpoint> targetsAsked() const
+    {
+        std::set<Endpoint> found;
+        for (const auto &[to, request] : sent) {
+            found.insert(to);
+        }
+        return found;
+    }
+    MeshEntry &entry()
+    {
+        return m_entry;
+    }
+    RootAdmission &admission()
+    {
+        return m_admission;
+    }
+
+    TimePoint now = Begin;
+    std::deque<std::pair<Endpoint, CallRequest>> sent;
+    std::vector<int> statuses;
+    std::optional<CallRequest> caller;
+
+private:
+    MeshConfigurationPointer m_configuration;
+    FleetAllowances m_allowances;
+    TargetRouter m_router;
+    LoadMeter m_meter;
+    RootAdmission m_admission;
+    MeshEntry m_entry;
+};
+
+CallRequest callerOfPriority(std::uint8_t priority)
+{
+    return {.attempt = AttemptId{9},
+            .context = {.root = RequestId(3, 4),
+                        .hasStableRoot = false,
+                        .organisation = OrganisationId("amsel"),
+                        .key = KeyId("none"),
+                        .priority = PriorityLevel{priority},
+                        .remaining = 1s,
+                        .retryBudget = 0,
+                        .depth = 0},
+            .service = Dispatch,
+            .route = RouteName("order"),
+            .claim = std::nullopt,
+            .repeatId = std::nullopt,
+            .targetIncarnation = {},
+            .http = {},
+            .repeatPercent = 100,
+            .rootKind = requestKindOf(RouteName("order")),
+            .rootPriority = PriorityLevel{priority}};
+}
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(meshentry)
+
+// A target that refuses has not run the request: it may be sent there again, but to no more targets than the route says.
+BOOST_AUTO_TEST_CASE(ARejectedRequestIsSentAgainWithinTheTargetsOfItsRoute)
+{
+    EntryRig rig;
+    rig.ask("a", "status");
+    for (int n = 0; n < 20 && rig.statuses.empty(); ++n) {
+        rig.answerLast(Verdict::refused(Reason::TargetFailed));
+    }
+    BOOST_TEST(rig.targetsAsked().size() == MaxAttempts);
+    BOOST_TEST(rig.sent.size() == 8U);
+    BOOST_REQUIRE(rig.statuses.size() == 1);
+    BOOST_TEST(rig.statuses[0] == 503);
+}
+
+// The process ends while a request that it took runs on: the caller would get nothing.
+BOOST_AUTO_TEST_CASE(AStoppingNodeTakesNothingThatMayOutlastIt)
+{
+    EntryRig rig;
+    rig.entry().stopAt(Begin + 3s, Begin + 5500ms);
+    rig.now = Begin + 2s;
+    rig.ask("early", "status");
+    BOOST_TEST(rig.sent.size() == 1U);
+    rig.now = Begin + 4s;
+    rig.ask("late", "status", 5s);
+    BOOST_TEST(rig.sent.size() == 1U);
+    BOOST_REQUIRE(rig.statuses.size() == 1);
+    BOOST_TEST(rig.statuses[0] == 503);
+    // A call that ends before the process is served: the request that made it may still be answered.
+    rig.ask("call", "telemetry", 700ms);
+    BOOST_TEST(rig.sent.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(ACallBelongsToTheRootOfTheRequestThatMadeIt)
+{
+    EntryRig rig;
+    rig.caller = callerOfPriority(0);
+    rig.ask("parent.1", "telemetry");
+    BOOST_REQUIRE(rig.sent.size() == 1);
+    const CallRequest &known = rig.sent[0].second;
+    BOOST_CHECK(known.context.root == rig.caller->context.root);
+    BOOST_CHECK(known.rootKind == rig.caller->rootKind);
+    BOOST_CHECK(known.rootPriority == PriorityLevel{0});
+    // What a repeat calls is a repeat at the service below.
+    BOOST_TEST(known.repeatPercent == 100);
+    rig.ask("somebody-else", "telemetry");
+    BOOST_CHECK(rig.sent[1].second.rootKind == requestKindOf(RouteName("telemetry")));
+    BOOST_TEST(rig.sent[1].second.repeatPercent == 0);
+}
+
+// Targets of the service reject half of what they get, and no repeats are left for the roots of a low priority.
+BOOST_AUTO_TEST_CASE(RepeatsThatAreShortAreNotSpentOnRequestsThatCanNotBeFinished)
+{
+    const auto sentFor = [](std::uint8_t priority) {
+        EntryRig rig;
+        MeshObjects objects{.version = {}, .routes = {routeOf("order", Dispatch, false), routeOf("telemetry", Monitor, true)}, .services = {}, .organisations = {}, .limits = {}};
+        rig.admission().configure(objects);
+        const RequestKind order = requestKindOf(RouteName("order"));
+        const RequestKind telemetry = requestKindOf(RouteName("telemetry"));
+        const LoadReport load{Dispatch,
+                              100,
+                              10,
+                              {{order, PriorityLevel{0}, 10}, {order, PriorityLevel{2}, 1'000}},
+                              {{order, telemetry, 4, 1'000}},
+                              {},
+                              {{Monitor, 4'040, 0.5, 0}}};
+        rig.admission().noteReport(NodeId("self"), load, Begin);
+        rig.caller = callerOfPriority(priority);
+        // Its share of the roots is high: only where nearly all are finished is this one.
+        rig.caller->context.root = RequestId(0, 0);
+        while (rootShare(rig.caller->context.root) < 0.9) {
+            rig.caller->context.root = RequestId(0, rig.caller->context.root.low() + 1);
+        }
+        rig.ask("parent.1", "telemetry");
+        rig.answerLast(Verdict::refused(Reason::TargetFailed));
+        return rig.sent.size();
+    };
+    BOOST_TEST(sentFor(0) == 2U);
+    BOOST_TEST(sentFor(2) == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
