Metrics address, printed settings, changes of the settings file are noticed

MeshMetrics counts requests by outcome, times them by route, attempts at the target and calls to the store, with bounded series, and shows what the node believes (configuration, peers, load, parts admitted and finished).

--- a/src/mesh/meshnode.cpp
+++ b/src/mesh/meshnode.cpp
@@ -62,7 +62,7 @@
     : m_context(context)
     , m_settings(settings)
     , m_dialect(std::move(dialect))
-    , m_store(std::move(store))
+    , m_store(measured(std::move(store)))
     , m_peers(settings.node)
     , m_allowances({.window = settings.quotaWindow, .overshoot = settings.quotaOvershoot, .slack = settings.quotaSlack})
     , m_router({.ownNode = settings.node, .place = settings.place, .hintEntries = 1024, .placement = Placement::ShortestTime}, systemRandom(), bootTime())
@@ -96,6 +96,8 @@
     , m_readiness(
           context, {.listen = settings.readiness}, [this](const HttpRequest &request, const HttpResponder &respond) { readinessAsked(request, respond); })
     , m_reports(context, {.listen = settings.reports}, [this](const HttpRequest &request, const HttpResponder &respond) { targetCalled(request, respond); })
+    , m_metricsServer(
+          context, {.listen = settings.metrics}, [this](const HttpRequest &request, const HttpResponder &respond) { metricsAsked(request, respond); })
     , m_tickTimer(context)
     , m_entryTimer(context)
     , m_requestLog(RequestLinesPerSecond)
@@ -140,6 +142,7 @@
     m_readiness.start();
     m_reports.start();
     m_callers.start();
+    m_metricsServer.start();
     logEvent(
         LogLevel::Info,
         "listening",
@@ -215,10 +218,14 @@
 
 void MeshNode::Impl::noteEnded(const EntryOutcome &outcome)
 {
+    const EntryRequest *request = outcome.request;
+    m_metrics.requestEnded(outcome.verdict,
+                           request == nullptr ? "-" : request->route->name.text(),
+                           request == nullptr ? "-" : request->call.context.organisation.text(),
+                           outcome.age);
     if (outcome.status < FirstError || !m_requestLog.mayWrite(bootTime())) {
         return;
     }
-    const EntryRequest *request = outcome.request;
     logEvent(LogLevel::Info,
              "request",
              {{"id", std::string(outcome.requestId)},
@@ -236,6 +243,7 @@
 
 void MeshNode::Impl::noteAttempt(const std::string &requestId, const CallAnswer &answer, Duration waited, Duration ran)
 {
+    m_metrics.attemptEnded(answer.verdict, waited, ran);
     const int status = answer.response ? answer.response->status : 0;
     const bool isServed = answer.verdict.isSuccess() && status < FirstError;
     if (isServed || !m_requestLog.mayWrite(bootTime())) {
@@ -255,6 +263,57 @@
               {"limit", std::to_string(answer.hint.limit)}});
 }
 
+MeshStore MeshNode::Impl::measured(MeshStore store)
+{
+    return {
+        .ask =
+            [this, ask = std::move(store.ask)](const StoreRequest &request, std::function<void(StoreReply)> reply) {
+                const std::string_view call = std::holds_alternative<WriteRows>(request) ? "write" : "list";
+                ask(request, [this, call, began = bootTime(), reply = std::move(reply)](StoreReply it) {
+                    m_metrics.storeCalled(call, !std::holds_alternative<StoreFailure>(it), bootTime() - began);
+                    reply(std::move(it));
+                });
+            },
+        .follow =
+            [this, follow = std::move(store.follow)](const FollowRows &request, std::function<void(FollowReply)> reply) {
+                follow(request, [this, began = bootTime(), reply = std::move(reply)](FollowReply it) {
+                    m_metrics.storeCalled("follow", !std::holds_alternative<StoreFailure>(it), bootTime() - began);
+                    reply(std::move(it));
+                });
+            },
+    };
+}
+
+void MeshNode::Impl::metricsAsked(const HttpRequest &request, const HttpResponder &respond)
+{
+    constexpr int Ok = 200;
+    constexpr int NotFound = 404;
+    if (request.method != "GET" || request.target != "/metrics") {
+        respond({.status = NotFound, .headers = {}, .body = {}});
+        return;
+    }
+    const auto reachable = std::ranges::count_if(m_peers.all(), [](const auto &it) { return it.second.isReachable; });
+    std::vector<Gauge> gauges{
+        {"banyankeel_configuration_version", static_cast<double>(m_feed.version())},
+        {"banyankeel_store_reachable", m_feed.isStoreReachable() ? 1.0 : 0.0},
+        {"banyankeel_known_peers", static_cast<double>(m_peers.size())},
+        {"banyankeel_reachable_peers", static_cast<double>(reachable)},
+        {"banyankeel_requests_under_way", static_cast<double>(m_entry.requests())},
+        {"banyankeel_admission_load", static_cast<double>(m_target.attempts())},
+        {"banyankeel_admission_limit", static_cast<double>(m_target.slots())},
+        {"banyankeel_log_lines_left_out_total", static_cast<double>(m_linesLeftOut)},
+    };
+    for (const auto &[name, parts] :
+         {std::pair("banyankeel_admitted_part", &m_admission.admitted()), std::pair("banyankeel_finished_part", &m_admission.finished())}) {
+        for (const auto &[rootClass, part] : *parts) {
+            gauges.push_back(
+                {fmt::format("{}{{kind=\"{:08x}\",priority=\"{}\"}}", name, static_cast<std::uint32_t>(rootClass.kind), static_cast<int>(rootClass.priority)),
+                 part});
+        }
+    }
+    respond({.status = Ok, .headers = {{"Content-Type", "text/plain; version=0.0.4"}}, .body = m_metrics.exposition(gauges)});
+}
+
 void MeshNode::Impl::drain(std::function<void()> stopped)
 {
     if (m_isStopping) {
@@ -292,6 +351,15 @@
     runAfter(StopTick, [this] { checkStop(); });
 }
 
+void MeshNode::Impl::reload(const MeshSettings &settings)
+{
+    for (const std::string &it : changedSettings(m_settings, settings)) {
+        const bool isTakenOver = it == "grace-period";
+        logEvent(LogLevel::Info, "setting-changed", {{"setting", it}, {"in-force", isTakenOver ? "now" : "after-restart"}});
+    }
+    m_settings.gracePeriod = settings.gracePeriod;
+}
+
 void MeshNode::Impl::stopNow()
 {
     m_isStopping = true;
@@ -300,6 +368,7 @@
     m_callers.stop();
     m_readiness.stop();
     m_reports.stop();
+    m_metricsServer.stop();
     m_tickTimer.cancel();
     m_entryTimer.cancel();
     if (m_network) {
@@ -325,6 +394,11 @@
     m_impl->drain(std::move(stopped));
 }
 
+void MeshNode::reload(const MeshSettings &settings)
+{
+    m_impl->reload(settings);
+}
+
 void MeshNode::stopNow()
 {
     m_impl->stopNow();
--- a/src/mesh/meshnode.h
+++ b/src/mesh/meshnode.h
@@ -34,6 +34,8 @@
     void start();
     /// Takes no new work, ends what is under way, and calls @p stopped when nothing is left or the time for it is over.
     void drain(std::function<void()> stopped);
+    /// Takes over what may change while the process runs, which is the grace period. The rest is logged by name and holds from the next start on.
+    void reload(const MeshSettings &settings);
     /// Closes all connections at once, as the end of the process would. The object must outlive what the context still runs.
     void stopNow();
 
--- a/src/mesh/meshnode_fleet.cpp
+++ b/src/mesh/meshnode_fleet.cpp
@@ -362,6 +362,7 @@
     }
     m_peers.dropLost(now, PeerRetention);
     if (const std::uint64_t n = m_requestLog.takeLeftOut(); n > 0) {
+        m_linesLeftOut += n;
         logEvent(LogLevel::Info, "log-lines-left-out", {{"count", std::to_string(n)}});
     }
 }
--- a/src/mesh/meshnodeimpl.h
+++ b/src/mesh/meshnodeimpl.h
@@ -9,6 +9,7 @@
 #include "edge/edgeserver.h"
 #include "mesh/boundedlog.h"
 #include "mesh/meshentry.h"
+#include "mesh/meshmetrics.h"
 #include "mesh/meshnode.h"
 #include "mesh/meshpeers.h"
 #include "mesh/meshtarget.h"
@@ -37,6 +38,7 @@
 
     void start();
     void drain(std::function<void()> stopped);
+    void reload(const MeshSettings &settings);
     void stopNow();
 
 private:
@@ -79,12 +81,17 @@
     void wakeEntryAt(TimePoint time);
     void checkStop();
     void noteEnded(const EntryOutcome &outcome);
+    void metricsAsked(const HttpRequest &request, const HttpResponder &respond);
+    /// The store, with its calls timed.
+    MeshStore measured(MeshStore store);
     void noteAttempt(const std::string &requestId, const CallAnswer &answer, Duration waited, Duration ran);
     void runAfter(Duration delay, std::function<void()> task);
 
     asio::io_context &m_context;
-    const MeshSettings m_settings;
+    MeshSettings m_settings;
     const MeshDialect m_dialect;
+    MeshMetrics m_metrics;
+    std::uint64_t m_linesLeftOut = 0;
     const MeshStore m_store;
     std::optional<Peer> m_self;
     MeshPeers m_peers;
@@ -105,6 +112,7 @@
     EdgeServer m_callers;
     EdgeServer m_readiness;
     EdgeServer m_reports;
+    EdgeServer m_metricsServer;
     std::unique_ptr<PeerNetwork> m_network;
     asio::steady_timer m_tickTimer;
     asio::steady_timer m_entryTimer;
--- a/src/mesh/meshsettings.h
+++ b/src/mesh/meshsettings.h
@@ -12,6 +12,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace banyankeel
 {
@@ -27,6 +28,8 @@
     Endpoint reports;
     /// Where other nodes connect.
     Endpoint peers;
+    /// Where a collector reads the metrics.
+    Endpoint metrics;
     /// The target on this host, and its service.
     Endpoint target;
     ServiceName service;
@@ -51,4 +54,17 @@
     friend auto operator<=>(const MeshSettings &, const MeshSettings &) = default;
 };
 
+/// A setting as it is in force, for people.
+struct SettingLine {
+    std::string name;
+    std::string value;
+
+    friend auto operator<=>(const SettingLine &, const SettingLine &) = default;
+};
+
+/// All settings but the secret, in the order of the declaration.
+std::vector<SettingLine> settingLines(const MeshSettings &settings);
+/// The names of the settings in which @p left and @p right differ; "secret" where only that does.
+std::vector<std::string> changedSettings(const MeshSettings &left, const MeshSettings &right);
+
 } // namespace banyankeel
--- a/src/mesh/test/meshentry_test.cpp
+++ b/src/mesh/test/meshentry_test.cpp
@@ -222,7 +222,11 @@
 {
     const auto sentFor = [](std::uint8_t priority) {
         EntryRig rig;
-        MeshObjects objects{.version = {}, .routes = {routeOf("order", Dispatch, false), routeOf("telemetry", Monitor, true)}, .services = {}, .organisations = {}, .limits = {}};
+        MeshObjects objects{.version = {},
+                            .routes = {routeOf("order", Dispatch, false), routeOf("telemetry", Monitor, true)},
+                            .services = {},
+                            .organisations = {},
+                            .limits = {}};
         rig.admission().configure(objects);
         const RequestKind order = requestKindOf(RouteName("order"));
         const RequestKind telemetry = requestKindOf(RouteName("telemetry"));
--- a/src/mesh/test/meshfleet.cpp
+++ b/src/mesh/test/meshfleet.cpp
@@ -166,6 +166,7 @@
         .readiness = freeLoopback(),
         .reports = freeLoopback(),
         .peers = freeLoopback(),
+        .metrics = freeLoopback(),
         .target = freeLoopback(),
         .service = ServiceName(service),
         .store = freeLoopback(),
