Retry budget counts its windows as they are judged

The budget compared repeats with the requests of the same 10.5 s; any window of 10 s counts, and where requests stop while their repeats go on, the requests of the 10.5 s lie partly outside of each window that is compared. Change: each window that is open is checked, wherever it begins, against the requests of that window, the one before and the one half a window before; calls of repeated runs count as repeats and not as requests. Test: RepeatsOfAnyWindowStayWithinTheStatedRequests replaces RepeatsOfAnyWindowStayWithinTheRatioOfItsRequests, which checked windows that end now only and did not know the two earlier ones; it fails with the version before. RequestsThatStopLeaveTheirRepeatsForAWhile is new.

--- a/src/coordination/retrybudget/serviceretrybudget.h
+++ b/src/coordination/retrybudget/serviceretrybudget.h
@@ -30,18 +30,19 @@
 
 /// The repeats of one node to one service. Not thread-safe; constant time and size.
 ///
-/// In any window that ends now, repeats are at most ratio x requests + slack. Each node keeps to its own sum, so that the fleet's sum holds
-/// without a message between nodes, and a node that starts again has nothing left over from before.
+/// In any window, wherever it begins, repeats are at most ratio x requests + slack; the requests are those of the window, of the one before it or
+/// of the one that began half a window earlier, whichever has most. So a service whose requests stop because it fails may still be
+/// asked again for those before. Each node keeps to its own sum, so that the fleet's sum holds without a message between nodes, and a node that
+/// starts again has nothing left over from before.
 class ServiceRetryBudget
 {
 public:
     /// @throws ValueError if ratio or slack is negative or the window is not above zero.
     explicit ServiceRetryBudget(const ServiceRetryBudgetSettings &settings);
 
-    /// A request is sent to the service for the first time.
-    void noteRequest(TimePoint now);
-    /// A request that is sent for the first time was made by a run that may have been a repeat itself, and counts as @p part of one.
-    void noteInherited(double part, TimePoint now);
+    /// A request is sent to the service for the first time. @param repeatPart how likely the run that made it was a repeat: by this part it counts
+    /// as a repeat and not as a request.
+    void noteRequest(TimePoint now, double repeatPart = 0);
     /// Whether one more repeat is within the budget; it is counted then.
     [[nodiscard]] bool take(TimePoint now);
     /// Repeats that would be within the budget now.
@@ -49,20 +50,22 @@
 
 private:
     struct Slice {
-        std::uint32_t requests = 0;
+        double requests = 0;
         double repeats = 0;
     };
-    static constexpr std::size_t Slices = 20;
+    static constexpr std::int64_t SlicesPerWindow = 20;
+    /// The window that begins longest ago needs the one before it as well.
+    static constexpr std::int64_t Slices = 2 * SlicesPerWindow;
 
     void advance(TimePoint now);
-    void addRepeats(double count);
+    Slice &present();
+    /// Sums from the oldest slice on, the first of which is empty.
+    [[nodiscard]] std::array<Slice, Slices + 1> sums() const;
 
     ServiceRetryBudgetSettings m_settings;
     Duration m_sliceLength;
     std::array<Slice, Slices> m_slices{};
     std::int64_t m_current = 0;
-    std::uint64_t m_requests = 0;
-    double m_repeats = 0;
 };
 
 } // namespace banyankeel
--- a/src/mesh/meshentry.cpp
+++ b/src/mesh/meshentry.cpp
@@ -104,13 +104,12 @@
         .received = now,
         .deadline = now + *remaining,
     });
-    Budgets &budgets = budgetsOf(entry->call.service);
-    budgets.all.noteRequest(now);
-    budgets.rerun.noteRequest(now);
     if (!caller.isRoot) {
         noteCall(*entry, now);
-        budgets.all.noteInherited(entry->inheritedRepeat, now);
     }
+    Budgets &budgets = budgetsOf(entry->call.service);
+    budgets.all.noteRequest(now, entry->inheritedRepeat);
+    budgets.rerun.noteRequest(now);
     const std::weak_ptr<EntryRequest> weak = entry;
     respond.whenClientLeaves([this, weak] {
         if (const RequestPointer left = weak.lock()) {
