--- a/src/coordination/demand/test/calllearner_test.cpp
+++ b/src/coordination/demand/test/calllearner_test.cpp
@@ -26,7 +26,7 @@
     {
     }
 
-    void run(Duration length, std::map<RequestKind, double> perSecond)
+    void run(Duration length, const std::map<RequestKind, double> &perSecond)
     {
         std::multimap<TimePoint, std::function<void(TimePoint)>> events;
         for (const auto &[kind, rate] : perSecond) {
--- a/src/coordination/demand/test/rootadmission_test.cpp
+++ b/src/coordination/demand/test/rootadmission_test.cpp
@@ -132,6 +132,7 @@
         RandomSource random = seededRandom(11);
         double budget = 0;
         std::vector<double> whole;
+        whole.reserve(Requests);
         for (int n = 0; n < Requests; ++n) {
             whole.push_back(rootShare(RequestId(random(), random())));
         }
@@ -272,8 +273,8 @@
     reader.finish();
     for (std::size_t n = 0; n < bytes.size(); ++n) {
         const std::string part = bytes.substr(0, n);
-        WireReader short_(part, "load");
-        BOOST_CHECK_THROW(readLoadReport(short_), Error);
+        WireReader cut(part, "load");
+        BOOST_CHECK_THROW(readLoadReport(cut), Error);
     }
 }
 
