A brief report is encoded once for all peers

It was encoded anew for each of them, every second and at urgent changes; the message is the same for all. Behaviour is unchanged. Checked: formatter, linter on this source, test_mesh. The whole script was not run again for this commit.

--- a/src/mesh/meshnode_fleet.cpp
+++ b/src/mesh/meshnode_fleet.cpp
@@ -294,8 +294,9 @@
         .isStopping = m_isStopping,
         .load = scope == ReportScope::Changed ? std::optional(measureLoad(m_lastReportAt)) : std::nullopt,
     };
+    const Envelope message = report.encode();
     for (const auto &[node, peer] : m_peers.all()) {
-        m_network->send(peer.peer.endpoint, report.encode());
+        m_network->send(peer.peer.endpoint, message);
     }
 }
 
