Draws of random numbers are sequenced, so that a seed means the same with every compiler

Cause: publishUnderFaults drew two numbers as arguments of one call. C++ leaves their order open; g++ takes the last first on x86-64 and the first first on arm64, so the schedules of a seed differed, and CheckerDetectsSlowStoreReaders, which expects its fault within fixed seeds, failed on each run on arm64. Change: one draw per statement, in the order of x86-64, in publishUnderFaults, runClaimSchedule and damaged(), and in randomRequestId, which replaces RequestId(random(), random()) in the tests of admission and demand.

--- a/src/coordination/claims/test/claimschedule.h
+++ b/src/coordination/claims/test/claimschedule.h
@@ -80,7 +80,8 @@
     while (claims.fleet.runner.now() < end) {
         injectClaimFault(claims, random);
         for (int n = 0; n < 6; ++n) {
-            claims.submit(uniformBelow(random, claims.fleet.size()), testRequest(newest - uniformBelow(random, 20)));
+            const RequestId request = testRequest(newest - uniformBelow(random, 20));
+            claims.submit(uniformBelow(random, claims.fleet.size()), request);
             claims.fleet.run(std::chrono::milliseconds(20 + uniformBelow(random, 300)));
             for (const std::size_t i : std::exchange(claims.nodesToKill, {})) {
                 claims.fleet.kill(i);
--- a/src/coordination/configuration/test/replicatorfleet.cpp
+++ b/src/coordination/configuration/test/replicatorfleet.cpp
@@ -306,7 +306,8 @@
 {
     for (int n = 0; n < FaultsPerRound; ++n) {
         const RandomSource &random = fleet.runner().random();
-        fleet.publish(uniformBelow(random, fleet.size()), randomChange(random));
+        const ConfigurationChange change = randomChange(random);
+        fleet.publish(uniformBelow(random, fleet.size()), change);
         injectRandomFault(fleet);
         fleet.run(std::chrono::milliseconds(200 + uniformBelow(random, 1500)));
     }
--- a/src/coordination/demand/test/rootadmission_test.cpp
+++ b/src/coordination/demand/test/rootadmission_test.cpp
@@ -3,6 +3,7 @@
 #include "coordination/demand/loadmeter.h"
 #include "coordination/demand/rootadmission.h"
 #include "state/errors.h"
+#include "testing/randomrequestid.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -135,7 +136,7 @@
         std::vector<double> complete;
         complete.reserve(Requests);
         for (int n = 0; n < Requests; ++n) {
-            complete.push_back(rootShare(RequestId(random(), random())));
+            complete.push_back(rootShare(testing::randomRequestId(random)));
         }
         for (int call = 0; call < Calls; ++call) {
             std::erase_if(complete, [&](double share) {
--- a/src/coordination/overload/test/admissioncontroller_test.cpp
+++ b/src/coordination/overload/test/admissioncontroller_test.cpp
@@ -3,6 +3,7 @@
 #include "coordination/common/random.h"
 #include "coordination/common/roothash.h"
 #include "state/errors.h"
+#include "testing/randomrequestid.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -37,7 +38,7 @@
     std::uint64_t offer(const std::string &organisation, std::uint8_t priority = 0, Duration timeout = std::chrono::seconds(10), std::uint16_t weight = 1)
     {
         const std::uint64_t ticket = ++lastTicket;
-        const RequestId root(random(), random());
+        const RequestId root = testing::randomRequestId(random);
         roots.emplace(ticket, rootHash(root));
         organisations[ticket] = organisation;
         priorities[ticket] = priority;
@@ -90,7 +91,7 @@
         const AttemptTicket ticket{++fixture.lastTicket};
         AdmissionActions out;
         fixture.admission.offer({.ticket = ticket,
-                                 .root = RequestId(fixture.random(), fixture.random()),
+                                 .root = testing::randomRequestId(fixture.random),
                                  .organisation = OrganisationId("calls"),
                                  .priority = PriorityLevel{0},
                                  .weight = 1,
--- a/src/state/requestid.h
+++ b/src/state/requestid.h
@@ -3,7 +3,7 @@
 // Identifies a root request. All hops and retries for one request of a caller share its id.
 //
 //   RequestId id = RequestId::derive(organisation, idempotencyKey);   // repeats by the caller get the same id
-//   RequestId fresh(random(), random());
+//   RequestId fresh(high, low);
 
 #include <compare>
 #include <cstdint>
--- a/src/transport/test/damagedframes_test.cpp
+++ b/src/transport/test/damagedframes_test.cpp
@@ -62,8 +62,10 @@
     case 1:
         bytes.resize(random() % bytes.size());
         break;
-    default:
-        bytes.insert(random() % bytes.size(), 1, static_cast<char>(random()));
+    default: {
+        const auto inserted = static_cast<char>(random());
+        bytes.insert(random() % bytes.size(), 1, inserted);
+    }
     }
     return bytes;
 }
