Logs and metrics name where a configuration came from, its size, and who asked whom for it

Change: event=configuration says source, bytes and decode-ms; event=configuration-requested and event=configuration-sent name the peer; two counters, banyankeel_configuration_documents_total and _bytes_total, by event. No decision changes.

--- a/src/coordination/feed/configurationfeed.cpp
+++ b/src/coordination/feed/configurationfeed.cpp
@@ -74,12 +74,12 @@
 {
     for (const Row &it : rows) {
         if (it.key == m_settings.row) {
-            handleDocument(it.value);
+            handleDocument(it.value, StoreSource);
         }
     }
 }
 
-void ConfigurationFeed::handleDocument(const std::string &document)
+void ConfigurationFeed::handleDocument(const std::string &document, std::string_view source)
 {
     if (m_isStopped || (m_current && document == m_document)) {
         return;
@@ -97,7 +97,7 @@
     }
     m_current = std::move(found);
     m_document = document;
-    m_hooks.changed(m_current);
+    m_hooks.changed(m_current, source);
 }
 
 void ConfigurationFeed::handleFailure(const std::string &detail, void (ConfigurationFeed::*next)())
--- a/src/coordination/feed/configurationfeed.h
+++ b/src/coordination/feed/configurationfeed.h
@@ -4,7 +4,7 @@
 //
 //   ConfigurationFeed feed({.table = "op", .key = "config"}, hooks);
 //   feed.start();
-//   feed.handleDocument(document);     // from a peer
+//   feed.handleDocument(document, peer.text());
 
 #include "protocol/storefeed.h"
 #include "protocol/storemessages.h"
@@ -14,6 +14,7 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <string_view>
 
 namespace banyankeel
 {
@@ -34,8 +35,8 @@
     std::function<void(Duration delay, std::function<void()> task)> runAfter;
     /// @throws Error if the document can't be decoded.
     std::function<MeshConfigurationPointer(const std::string &document)> decode;
-    /// Called with each configuration that is newer than all before.
-    std::function<void(const MeshConfigurationPointer &configuration)> changed;
+    /// Called with each configuration that is newer than all before. @param source StoreSource, or the source given to handleDocument().
+    std::function<void(const MeshConfigurationPointer &configuration, std::string_view source)> changed;
     /// Reports a document that can't be decoded or an unavailable store, as an event name and a detail.
     std::function<void(const std::string &event, const std::string &detail)> reportProblem;
     std::function<void()> storeRegained;
@@ -46,6 +47,9 @@
 class ConfigurationFeed
 {
 public:
+    /// Names the store as the source of a configuration.
+    static constexpr std::string_view StoreSource = "store";
+
     ConfigurationFeed(ConfigurationFeedSettings settings, ConfigurationFeedHooks hooks);
 
     void start();
@@ -56,8 +60,8 @@
     {
         m_settings.wait = wait;
     }
-    /// Handles a document from a source other than the store.
-    void handleDocument(const std::string &document);
+    /// Handles a document from @p source, which is not the store.
+    void handleDocument(const std::string &document, std::string_view source);
 
     /// Null until a configuration is known.
     [[nodiscard]] const MeshConfigurationPointer &current() const
--- a/src/coordination/feed/test/configurationfeed_test.cpp
+++ b/src/coordination/feed/test/configurationfeed_test.cpp
@@ -39,7 +39,11 @@
                          },
                      .runAfter = [this](Duration, std::function<void()> task) { m_task = std::move(task); },
                      .decode = decodeNumber,
-                     .changed = [this](const MeshConfigurationPointer &it) { m_versions.push_back(static_cast<int>(it->version())); },
+                     .changed =
+                         [this](const MeshConfigurationPointer &it, std::string_view source) {
+                             m_versions.push_back(static_cast<int>(it->version()));
+                             m_source = source;
+                         },
                      .reportProblem = [this](const std::string &event, const std::string &) { m_problems.push_back(event); },
                      .storeRegained = [this] { ++m_regained; },
                  })
@@ -70,6 +74,7 @@
     RowVersion m_after = 0;
     Duration m_wait{};
     std::vector<int> m_versions;
+    std::string m_source;
     std::vector<std::string> m_problems;
     int m_regained = 0;
     ConfigurationFeed m_feed;
@@ -94,7 +99,7 @@
 {
     FeedFixture fixture;
     fixture.replyToRead("7", 40);
-    fixture.m_feed.handleDocument("6");
+    fixture.m_feed.handleDocument("6", "peer");
     fixture.replyToFollow(RowsChanged{FeedFixture::rowsOf("5", 44), 44});
     fixture.replyToFollow(HistoryLost{});
     fixture.replyToRead("4", 45);
@@ -142,8 +147,9 @@
 {
     FeedFixture fixture;
     std::exchange(fixture.m_readReply, nullptr)(Unavailable);
-    fixture.m_feed.handleDocument("8");
+    fixture.m_feed.handleDocument("8", "peer");
     BOOST_CHECK((fixture.m_versions == std::vector<int>{8}));
+    BOOST_CHECK_EQUAL(fixture.m_source, "peer");
 }
 
 BOOST_AUTO_TEST_CASE(ALongerWaitAppliesFromTheNextRequestOn)
--- a/src/mesh/meshmetrics.cpp
+++ b/src/mesh/meshmetrics.cpp
@@ -40,6 +40,13 @@
     m_store[{std::string(call), isAnswered}].observe(time);
 }
 
+void MeshMetrics::recordConfigurationDocument(std::string_view event, std::size_t bytes)
+{
+    DocumentCount &count = m_configurationDocuments[std::string(event)];
+    ++count.documents;
+    count.bytes += bytes;
+}
+
 std::string MeshMetrics::exposition(const std::vector<Gauge> &gauges) const
 {
     std::string text;
@@ -60,6 +67,10 @@
     for (const auto &[key, histogram] : m_store) {
         text += histogram.exposition("banyankeel_store_call_seconds", fmt::format("call=\"{}\",answered=\"{}\"", key.first, key.second ? "yes" : "no"));
     }
+    for (const auto &[event, count] : m_configurationDocuments) {
+        text += fmt::format("banyankeel_configuration_documents_total{{event=\"{}\"}} {}\n", event, count.documents);
+        text += fmt::format("banyankeel_configuration_document_bytes_total{{event=\"{}\"}} {}\n", event, count.bytes);
+    }
     for (const Gauge &it : gauges) {
         text += fmt::format("{} {}\n", it.name, it.value);
     }
--- a/src/mesh/meshmetrics.h
+++ b/src/mesh/meshmetrics.h
@@ -41,11 +41,17 @@
     void recordAttempt(const Verdict &verdict, Duration waited, Duration ran);
     /// Records a call to the store. @param call the kind of call; @param isAnswered whether the store answered.
     void recordStoreCall(std::string_view call, bool isAnswered, Duration time);
+    /// Records a configuration document that was requested from a peer, received from one or sent to one. @param event one of these words.
+    void recordConfigurationDocument(std::string_view event, std::size_t bytes);
 
     [[nodiscard]] std::string exposition(const std::vector<Gauge> &gauges) const;
 
 private:
     using OutcomeKey = std::pair<RunState, Reason>;
+    struct DocumentCount {
+        std::uint64_t documents = 0;
+        std::uint64_t bytes = 0;
+    };
 
     std::map<OutcomeKey, std::uint64_t> m_requests;
     std::map<std::string, Histogram> m_routes;
@@ -55,6 +61,7 @@
     Histogram m_waited;
     Histogram m_ran;
     std::map<std::pair<std::string, bool>, Histogram> m_store;
+    std::map<std::string, DocumentCount> m_configurationDocuments;
 };
 
 } // namespace banyankeel
--- a/src/mesh/meshnode.cpp
+++ b/src/mesh/meshnode.cpp
@@ -130,8 +130,8 @@
         .ask = m_store.send,
         .follow = m_store.follow,
         .runAfter = [this](Duration delay, std::function<void()> task) { runAfter(delay, std::move(task)); },
-        .decode = m_adapter.decodeConfiguration,
-        .changed = [this](const MeshConfigurationPointer &configuration) { applyConfiguration(configuration); },
+        .decode = [this](const std::string &document) { return decodeConfiguration(document); },
+        .changed = [this](const MeshConfigurationPointer &configuration, std::string_view source) { applyConfiguration(configuration, source); },
         .reportProblem =
             [](const std::string &event, const std::string &detail) {
                 logEvent(LogLevel::Warning, event, {{"detail", detail}});
@@ -166,14 +166,25 @@
     });
 }
 
-void MeshNode::Impl::applyConfiguration(const MeshConfigurationPointer &configuration)
+MeshConfigurationPointer MeshNode::Impl::decodeConfiguration(const std::string &document)
+{
+    const TimePoint began = bootTime();
+    MeshConfigurationPointer configuration = m_adapter.decodeConfiguration(document);
+    m_configurationDecodeTime = bootTime() - began;
+    return configuration;
+}
+
+void MeshNode::Impl::applyConfiguration(const MeshConfigurationPointer &configuration, std::string_view source)
 {
     const MeshObjects &objects = configuration->objects();
     logEvent(LogLevel::Info,
              "configuration",
              {{"version", std::to_string(static_cast<std::uint64_t>(configuration->version()))},
               {"routes", std::to_string(objects.routes.size())},
-              {"organisations", std::to_string(objects.organisations.size())}});
+              {"organisations", std::to_string(objects.organisations.size())},
+              {"source", std::string(source)},
+              {"bytes", std::to_string(m_feed.document().size())},
+              {"decode-ms", formatMilliseconds(m_configurationDecodeTime)}});
     m_rateLimiter.configure(objects.organisations, bootTime());
     m_admission.configure(objects);
     // Connections opened under a longer idle time keep it, as announced to their clients.
--- a/src/mesh/meshnode_fleet.cpp
+++ b/src/mesh/meshnode_fleet.cpp
@@ -180,11 +180,12 @@
         return;
     case MessageType::ConfigurationRequest:
         if (m_feed.version() > ConfigurationRequest::decode(envelope).newerThan) {
-            m_network->send(from.endpoint, ConfigurationDocument{m_feed.document()}.encode());
+            sendConfiguration(from);
         }
         return;
     case MessageType::ConfigurationDocument:
-        m_feed.handleDocument(ConfigurationDocument::decode(envelope).text);
+        m_metrics.recordConfigurationDocument("received", envelope.payload.size());
+        m_feed.handleDocument(ConfigurationDocument::decode(envelope).text, from.node.text());
         return;
     default:
         throw ProtocolError(fmt::format("message type {} is not handled", static_cast<int>(envelope.type)));
@@ -208,13 +209,32 @@
     m_rateLimiter.applyReport(from.node, {report.uses, report.isComplete, isNewProcess}, now);
     applyTargetChange(m_life.mergeLeavings(report.receiverDepartures));
     if (report.configuration > m_feed.version()) {
-        m_network->send(from.endpoint, ConfigurationRequest{m_feed.version()}.encode());
+        requestConfiguration(from);
     }
     if (report.asksReply || !wasReachable) {
         sendCompleteReport(peer, false);
     }
 }
 
+void MeshNode::Impl::requestConfiguration(const Peer &from)
+{
+    logEvent(
+        LogLevel::Info, "configuration-requested", {{"peer", from.node.text()}, {"newer-than", std::to_string(static_cast<std::uint64_t>(m_feed.version()))}});
+    m_metrics.recordConfigurationDocument("requested", 0);
+    m_network->send(from.endpoint, ConfigurationRequest{m_feed.version()}.encode());
+}
+
+void MeshNode::Impl::sendConfiguration(const Peer &to)
+{
+    logEvent(LogLevel::Info,
+             "configuration-sent",
+             {{"peer", to.node.text()},
+              {"version", std::to_string(static_cast<std::uint64_t>(m_feed.version()))},
+              {"bytes", std::to_string(m_feed.document().size())}});
+    m_metrics.recordConfigurationDocument("sent", m_feed.document().size());
+    m_network->send(to.endpoint, ConfigurationDocument{m_feed.document()}.encode());
+}
+
 void MeshNode::Impl::setReachable(KnownPeer &peer, bool isReachable, std::string_view reason)
 {
     // The router treats a target with a new incarnation as reachable.
--- a/src/mesh/meshnodeimpl.h
+++ b/src/mesh/meshnodeimpl.h
@@ -45,7 +45,9 @@
 private:
     MeshEntryHooks entryHooks();
     ConfigurationFeedHooks feedHooks();
-    void applyConfiguration(const MeshConfigurationPointer &configuration);
+    /// @throws Error if the document can't be decoded.
+    MeshConfigurationPointer decodeConfiguration(const std::string &document);
+    void applyConfiguration(const MeshConfigurationPointer &configuration, std::string_view source);
 
     void readRoster();
     void handleRoster(const StoreReply &reply);
@@ -63,6 +65,8 @@
 
     void handleMessage(const Peer &from, const Envelope &envelope);
     void handleNodeReport(const Peer &from, const NodeReport &report);
+    void requestConfiguration(const Peer &from);
+    void sendConfiguration(const Peer &to);
     void handlePeerLost(const Endpoint &endpoint, bool mayHaveArrived);
     void setReachable(KnownPeer &peer, bool isReachable, std::string_view reason);
     /// Sends every peer the full state of this node.
@@ -124,6 +128,7 @@
     std::uint32_t m_reportsSinceComplete = 0;
     TimePoint m_rosterReadAt{};
     Duration m_idleTime = Duration::zero();
+    Duration m_configurationDecodeTime = Duration::zero();
     LogRateLimiter m_requestLog;
     bool m_wasShort = false;
     bool m_isRegistered = false;
--- a/src/mesh/test/meshmetrics_test.cpp
+++ b/src/mesh/test/meshmetrics_test.cpp
@@ -60,4 +60,14 @@
     BOOST_TEST(hasLine(text, R"(banyankeel_store_call_seconds_count{call="follow",answered="no"} 1)"));
 }
 
+BOOST_AUTO_TEST_CASE(ConfigurationDocumentsAreCountedByEvent)
+{
+    MeshMetrics metrics;
+    metrics.recordConfigurationDocument("sent", 200);
+    metrics.recordConfigurationDocument("sent", 300);
+    const std::string text = metrics.exposition({});
+    BOOST_TEST(hasLine(text, R"(banyankeel_configuration_documents_total{event="sent"} 2)"));
+    BOOST_TEST(hasLine(text, R"(banyankeel_configuration_document_bytes_total{event="sent"} 500)"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
