Failing tests: a node asks every peer for a new configuration, and every node reads it from the store

Tests: a node that hears of a newer version from six peers asks all six for the document (one allowed); all six nodes of a region follow the store (three allowed).

--- /dev/null
+++ b/src/mesh/test/configurationspread_test.cpp
@@ -0,0 +1,165 @@
+#include "mesh/test/meshfleet.h"
+#include "protocol/nodereport.h"
+#include "transport/peernetwork.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <thread>
+
+using namespace banyankeel;
+using namespace banyankeel::testing;
+using namespace std::chrono_literals;
+
+namespace
+{
+/// Peers of a node that only report a configuration version. They note who is asked for the document, and never send it.
+class ReportingPeers
+{
+public:
+    ReportingPeers(const MeshFleet &fleet, const std::vector<std::string> &regions)
+        : m_node(fleet.peerEndpoint(0))
+    {
+        for (std::size_t n = 0; n < regions.size(); ++n) {
+            const Peer self{
+                NodeId("peer-" + std::to_string(n)), Incarnation{1}, {RegionName(regions[n]), FailureDomainName(regions[n] + "-a")}, freeLoopback()};
+            m_networks.push_back(std::make_unique<PeerNetwork>(PeerNetworkSettings{.self = self, .secret = fleet.secret(), .threads = 1},
+                                                               PeerNetworkHooks{
+                                                                   .message = [this, n](const Peer &, const Envelope &envelope) { record(n, envelope); },
+                                                                   .lost = [](const Endpoint &, bool) {},
+                                                                   .refused = [](const std::string &, const std::string &) {},
+                                                               }));
+            m_networks.back()->start();
+        }
+    }
+    ~ReportingPeers()
+    {
+        for (const auto &it : m_networks) {
+            it->stop();
+        }
+    }
+    ReportingPeers(const ReportingPeers &) = delete;
+    ReportingPeers &operator=(const ReportingPeers &) = delete;
+
+    /// Reports @p version from peer @p n and returns when the node has replied, so that it has handled the report.
+    void report(std::size_t n, ConfigurationVersion version)
+    {
+        std::unique_lock lock(m_mutex);
+        const std::size_t replies = m_replies;
+        const NodeReport report{
+            .asksReply = true,
+            .isComplete = false,
+            .configuration = version,
+            .target = std::nullopt,
+            .departures = {},
+            .receiverDepartures = {},
+            .uses = {},
+            .isStopping = false,
+        };
+        m_networks[n]->send(m_node, report.encode());
+        m_changed.wait(lock, [&] { return m_replies > replies; });
+    }
+    /// The peers that have been asked, in order.
+    std::vector<std::size_t> asked()
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_asked;
+    }
+    std::vector<std::size_t> waitUntilAsked(std::size_t count)
+    {
+        std::unique_lock lock(m_mutex);
+        m_changed.wait(lock, [&] { return m_asked.size() >= count; });
+        return m_asked;
+    }
+
+private:
+    void record(std::size_t n, const Envelope &envelope)
+    {
+        {
+            const std::lock_guard lock(m_mutex);
+            if (envelope.type == MessageType::ConfigurationRequest) {
+                m_asked.push_back(n);
+            } else if (envelope.type == MessageType::NodeReport && NodeReport::decode(envelope).isComplete) {
+                ++m_replies;
+            }
+        }
+        m_changed.notify_all();
+    }
+
+    const Endpoint m_node;
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::vector<std::size_t> m_asked;
+    std::size_t m_replies = 0;
+    std::vector<std::unique_ptr<PeerNetwork>> m_networks;
+};
+
+constexpr ConfigurationVersion Newer{9};
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(configurationspread)
+
+// Copies from all peers at once fill the link between regions.
+BOOST_AUTO_TEST_CASE(ANodeAsksOnePeerAtATimeForANewerConfiguration)
+{
+    // A peer that does not answer is given at least this time.
+    constexpr auto AnswerTime = 500ms;
+    MeshFleet fleet({"alpha"});
+    ReportingPeers peers(fleet, std::vector<std::string>(6, "muc"));
+    const auto began = std::chrono::steady_clock::now();
+    for (std::size_t n = 0; n < 6; ++n) {
+        peers.report(n, Newer);
+    }
+    const std::size_t count = peers.asked().size();
+    BOOST_CHECK_GE(count, 1);
+    BOOST_CHECK_LE(count, 1 + (std::chrono::steady_clock::now() - began) / AnswerTime);
+    // No document comes, so another peer is asked.
+    const std::vector<std::size_t> asked = peers.waitUntilAsked(2);
+    BOOST_CHECK(asked[0] != asked[1]);
+}
+
+BOOST_AUTO_TEST_CASE(AConfigurationIsFetchedFromAnotherRegionIfTheOwnDoesNotHaveIt)
+{
+    MeshFleet fleet({"alpha"});
+    ReportingPeers peers(fleet, {"nue", "muc"});
+    peers.report(1, ConfigurationVersion{0});
+    peers.report(0, Newer);
+    BOOST_CHECK_EQUAL(peers.waitUntilAsked(1).front(), 0);
+}
+
+// Each follower gets each document whole from the store, whose answers share the link to the region with everything else.
+BOOST_AUTO_TEST_CASE(AFewNodesOfEachRegionFollowTheStoreAndAllHaveTheConfiguration)
+{
+    constexpr std::size_t NodesPerRegion = 6;
+    constexpr std::ptrdiff_t MaxFollowersPerRegion = 3;
+    std::vector<std::string> regions(NodesPerRegion, "muc");
+    regions.insert(regions.end(), NodesPerRegion, "nue");
+    MeshFleet fleet(std::vector<std::string>(regions.size(), "alpha"), regions);
+    const auto followers = [&](const std::string &region) {
+        return fleet.run([&] {
+            return std::ranges::count_if(fleet.store().followers(),
+                                         [&](const std::string &it) { return regions[std::stoul(it.substr(it.find('-') + 1))] == region; });
+        });
+    };
+    const auto deadline = std::chrono::steady_clock::now() + 20s;
+    const auto areFew = [&] {
+        const std::ptrdiff_t first = followers("muc");
+        const std::ptrdiff_t second = followers("nue");
+        return first > 0 && first <= MaxFollowersPerRegion && second > 0 && second <= MaxFollowersPerRegion;
+    };
+    while (!areFew() && std::chrono::steady_clock::now() < deadline) {
+        std::this_thread::sleep_for(20ms);
+    }
+    BOOST_CHECK(areFew());
+    for (std::size_t n = 0; n < regions.size(); ++n) {
+        const std::string name = "route-" + std::to_string(n);
+        fleet.publish([&](MeshObjects &it) {
+            it.routes = {
+                {RouteName(name), "hr.example", '/' + name + '/', Repeatability::Idempotent, 5s, 1s, PriorityLevel{1}, {{ServiceName("alpha"), 1}}, 2, true}};
+        });
+        // The target is not served, so that a known route is refused with 503 and an unknown one with 404.
+        fleet.requestUntil(n, "GET /" + name + "/1 HTTP/1.1\r\nRequest: r1\r\nHost: hr.example\r\n", "503");
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/mesh/test/meshfleet.cpp
+++ b/src/mesh/test/meshfleet.cpp
@@ -3,6 +3,7 @@
 #include "state/errors.h"
 
 #include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
 
 #include <algorithm>
 #include <sstream>
@@ -53,12 +54,34 @@
                     reply([handler = std::move(handler)] { handler(StoreFailure{RunState::NotRun, "store unavailable"}); });
                     return;
                 }
-                m_waiters.push_back({request, std::move(handler)});
+                const std::uint64_t id = ++m_lastWaiter;
+                m_waiters.push_back({id, node, request, std::move(handler)});
+                const auto timer = std::make_shared<asio::steady_timer>(m_context, request.wait);
+                timer->async_wait([this, timer, id](const std::error_code &) { expireWaiter(id); });
                 wakeWaiters();
             },
     };
 }
 
+void FakeStore::expireWaiter(std::uint64_t id)
+{
+    const auto found = std::ranges::find(m_waiters, id, &Waiter::id);
+    if (found != m_waiters.end()) {
+        const std::function<void(FollowReply)> handler = std::move(found->reply);
+        m_waiters.erase(found);
+        reply([handler, newest = m_newest] { handler(RowsChanged{{}, newest}); });
+    }
+}
+
+std::set<std::string> FakeStore::followers() const
+{
+    std::set<std::string> found;
+    for (const Waiter &it : m_waiters) {
+        found.insert(it.node);
+    }
+    return found;
+}
+
 void FakeStore::reply(std::function<void()> task)
 {
     if (m_isHeld) {
@@ -126,12 +149,12 @@
     m_waiters.insert(m_waiters.end(), std::make_move_iterator(waiting.begin()), std::make_move_iterator(waiting.end()));
 }
 
-MeshFleet::MeshFleet(const std::vector<std::string> &services)
+MeshFleet::MeshFleet(const std::vector<std::string> &services, const std::vector<std::string> &regions)
 {
     configureLogging(LogLevel::Error);
     m_objects.limits = {.headerBytes = 16'384, .bodyBytes = 1'000'000, .headerTimeout = 3s, .idleTimeout = 15s};
     for (std::size_t n = 0; n < services.size(); ++n) {
-        m_hosts.push_back({settingsOf(n, services[n]), nullptr, nullptr});
+        m_hosts.push_back({settingsOf(n, services[n], regions.empty() ? "muc" : regions[n]), nullptr, nullptr});
         const ServiceName service(services[n]);
         if (std::ranges::find(m_objects.services, service, &MeshService::name) == m_objects.services.end()) {
             m_objects.services.push_back({service, "/health", 100});
@@ -157,11 +180,11 @@
     m_rig.stop();
 }
 
-MeshSettings MeshFleet::settingsOf(std::size_t n, const std::string &service) const
+MeshSettings MeshFleet::settingsOf(std::size_t n, const std::string &service, const std::string &region)
 {
     return {
         .node = NodeId("node-" + std::to_string(n)),
-        .place = {RegionName("muc"), FailureDomainName("muc-a")},
+        .place = {RegionName(region), FailureDomainName(region + "-a")},
         .callers = freeLoopback(),
         .readiness = freeLoopback(),
         .reports = freeLoopback(),
@@ -234,17 +257,23 @@
              .body = seen.target});
 }
 
-void MeshFleet::publish(const std::function<void(MeshObjects &)> &change)
+std::string MeshFleet::prepare(const std::function<void(MeshObjects &)> &change)
 {
-    m_rig.run([&] {
+    return m_rig.run([&] {
         change(m_objects);
         m_objects.version = static_cast<ConfigurationVersion>(static_cast<std::uint64_t>(m_objects.version) + 1);
-        const std::string document = std::to_string(static_cast<std::uint64_t>(m_objects.version));
+        std::string document = std::to_string(static_cast<std::uint64_t>(m_objects.version));
         m_documents.emplace(document, m_objects);
-        m_store->put(ConfigurationRow, document);
+        return document;
     });
 }
 
+void MeshFleet::publish(const std::function<void(MeshObjects &)> &change)
+{
+    const std::string document = prepare(change);
+    m_rig.run([&] { m_store->put(ConfigurationRow, document); });
+}
+
 void MeshFleet::notifyNode(std::size_t node, const std::string &method, const std::string &body)
 {
     RawConnection connection(m_hosts[node].settings.reports);
--- a/src/mesh/test/meshfleet.h
+++ b/src/mesh/test/meshfleet.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -37,13 +38,20 @@
     }
     /// Requests take effect immediately, but replies are held back until @p isHeld is false again.
     void holdReplies(bool isHeld);
+    /// The nodes whose long poll is open.
+    [[nodiscard]] std::set<std::string> followers() const;
 
 private:
     struct Waiter {
+        std::uint64_t id;
+        std::string node;
         FollowRows request;
         std::function<void(FollowReply)> reply;
     };
 
+    /// Answers the long poll @p id without rows if it is still open.
+    void expireWaiter(std::uint64_t id);
+
     StoreReply answer(const StoreRequest &request);
     [[nodiscard]] std::vector<Row> changedSince(const FollowRows &request) const;
     void wakeWaiters();
@@ -54,6 +62,7 @@
     RowVersion m_newest = 1;
     std::map<std::string, bool> m_unavailable;
     std::vector<Waiter> m_waiters;
+    std::uint64_t m_lastWaiter = 0;
     std::vector<std::function<void()>> m_heldReplies;
     bool m_isHeld = false;
 };
@@ -67,8 +76,8 @@
 class MeshFleet
 {
 public:
-    /// Starts a node and its target for each service name given.
-    explicit MeshFleet(const std::vector<std::string> &services);
+    /// Starts a node and its target for each service name given. @param regions the region of each node; all nodes are in one region if empty.
+    explicit MeshFleet(const std::vector<std::string> &services, const std::vector<std::string> &regions = {});
     ~MeshFleet();
 
     /// Publishes the routes and keys of @p change as the next version.
@@ -83,6 +92,16 @@
     void setTargetHandler(std::function<void(const SeenRequest &, const HttpResponder &)> answer);
 
     [[nodiscard]] Endpoint callerEndpoint(std::size_t node) const;
+    [[nodiscard]] Endpoint peerEndpoint(std::size_t node) const
+    {
+        return m_hosts[node].settings.peers;
+    }
+    [[nodiscard]] const std::string &secret() const
+    {
+        return m_hosts.front().settings.secret;
+    }
+    /// The next version that publish() would use, for documents that reach nodes by another way than the store.
+    std::string prepare(const std::function<void(MeshObjects &)> &change);
     /// Sends a request to a node and reads the whole response. Repeats until the status is @p status, to wait until the fleet has converged.
     std::string requestUntil(std::size_t node, const std::string &head, const std::string &status);
     std::string request(std::size_t node, const std::string &head);
@@ -107,7 +126,7 @@
         std::uint64_t sequence = 0;
     };
 
-    MeshSettings settingsOf(std::size_t n, const std::string &service) const;
+    static MeshSettings settingsOf(std::size_t n, const std::string &service, const std::string &region);
     PlatformAdapter adapter();
     void handleAsTarget(std::size_t n, HttpRequest request, const HttpResponder &respond);
     void notifyNode(std::size_t node, const std::string &method, const std::string &body);
