A node asks one peer at a time for a newer configuration, near ones first

Cause: each report with a newer version was answered with a request, so that in the half second between the arrival of a version in the two regions each of nine nodes had up to nine documents of 0.2 MB sent to it across the link between them. 15 MB on 3.75 MB/s held up the next version, and all reports. Change: ConfigurationFetcher. One request at a time with a time limit; peers of the own failure domain first, then of the region, and of other regions only after a delay in which the store or the region may provide the version; a peer whose document was no use is not asked again at once.

--- a/src/mesh/meshnode.cpp
+++ b/src/mesh/meshnode.cpp
@@ -63,7 +63,7 @@
     , m_settings(settings)
     , m_adapter(std::move(adapter))
     , m_store(instrumentStore(std::move(store)))
-    , m_peers(settings.node)
+    , m_peers(settings.node, settings.place)
     , m_rateLimiter({.window = settings.quotaWindow, .overshoot = settings.quotaOvershoot, .slack = settings.quotaSlack})
     , m_router({.ownNode = settings.node, .place = settings.place, .hintEntries = 1024, .placement = Placement::ShortestTime}, makeRandomSource(), bootTime())
     , m_meter(settings.service)
@@ -89,6 +89,7 @@
               entryHooks(),
               {m_router, m_rateLimiter, m_meter, m_admission})
     , m_feed({.row = m_adapter.configurationRow}, feedHooks())
+    , m_fetcher({})
     , m_callers(context,
                 {.listen = settings.callers,
                  .maxConnections = settings.descriptors - std::min(settings.descriptors, ReservedDescriptors + settings.descriptors / TargetConnectionsDivisor),
@@ -223,6 +224,7 @@
         m_target.expireQueued();
         m_meter.recordLoad(m_target.attemptCount(), now);
         reportIfDue(now);
+        fetchConfiguration();
         if (now - m_rosterReadAt >= RosterInterval) {
             readRoster();
         }
--- a/src/mesh/meshnode_fleet.cpp
+++ b/src/mesh/meshnode_fleet.cpp
@@ -185,7 +185,9 @@
         return;
     case MessageType::ConfigurationDocument:
         m_metrics.recordConfigurationDocument("received", envelope.payload.size());
+        m_fetcher.recordDocument(from.node);
         m_feed.handleDocument(ConfigurationDocument::decode(envelope).text, from.node.text());
+        fetchConfiguration();
         return;
     default:
         throw ProtocolError(fmt::format("message type {} is not handled", static_cast<int>(envelope.type)));
@@ -208,20 +210,25 @@
     }
     m_rateLimiter.applyReport(from.node, {report.uses, report.isComplete, isNewProcess}, now);
     applyTargetChange(m_life.mergeLeavings(report.receiverDepartures));
-    if (report.configuration > m_feed.version()) {
-        requestConfiguration(from);
-    }
+    m_fetcher.recordVersion(from.node, m_peers.distanceTo(from.place), report.configuration);
+    fetchConfiguration();
     if (report.asksReply || !wasReachable) {
         sendCompleteReport(peer, false);
     }
 }
 
-void MeshNode::Impl::requestConfiguration(const Peer &from)
+void MeshNode::Impl::fetchConfiguration()
 {
-    logEvent(
-        LogLevel::Info, "configuration-requested", {{"peer", from.node.text()}, {"newer-than", std::to_string(static_cast<std::uint64_t>(m_feed.version()))}});
+    const std::optional<NodeId> node = m_fetcher.next(m_feed.version(), bootTime());
+    const KnownPeer *peer = node ? m_peers.find(*node) : nullptr;
+    if (peer == nullptr) {
+        return;
+    }
+    logEvent(LogLevel::Info,
+             "configuration-requested",
+             {{"peer", peer->peer.node.text()}, {"newer-than", std::to_string(static_cast<std::uint64_t>(m_feed.version()))}});
     m_metrics.recordConfigurationDocument("requested", 0);
-    m_network->send(from.endpoint, ConfigurationRequest{m_feed.version()}.encode());
+    m_network->send(peer->peer.endpoint, ConfigurationRequest{m_feed.version()}.encode());
 }
 
 void MeshNode::Impl::sendConfiguration(const Peer &to)
@@ -241,6 +248,9 @@
     m_router.setReachable(peer.peer.node, isReachable);
     if (peer.isReachable != isReachable) {
         peer.isReachable = isReachable;
+        if (!isReachable) {
+            m_fetcher.removePeer(peer.peer.node);
+        }
         logEvent(LogLevel::Info, isReachable ? "peer-regained" : "peer-lost", {{"peer", peer.peer.node.text()}, {"reason", std::string(reason)}});
     }
 }
--- a/src/mesh/meshnodeimpl.h
+++ b/src/mesh/meshnodeimpl.h
@@ -6,6 +6,7 @@
 #include "coordination/demand/loadmeter.h"
 #include "coordination/demand/rootadmission.h"
 #include "coordination/feed/configurationfeed.h"
+#include "coordination/feed/configurationfetcher.h"
 #include "coordination/targetlife/targetlifecycle.h"
 #include "edge/edgeserver.h"
 #include "mesh/logratelimiter.h"
@@ -65,7 +66,8 @@
 
     void handleMessage(const Peer &from, const Envelope &envelope);
     void handleNodeReport(const Peer &from, const NodeReport &report);
-    void requestConfiguration(const Peer &from);
+    /// Asks a peer for a newer configuration if one is known to have it and no other request is outstanding.
+    void fetchConfiguration();
     void sendConfiguration(const Peer &to);
     void handlePeerLost(const Endpoint &endpoint, bool mayHaveArrived);
     void setReachable(KnownPeer &peer, bool isReachable, std::string_view reason);
@@ -114,6 +116,7 @@
     MeshTarget m_target;
     MeshEntry m_entry;
     ConfigurationFeed m_feed;
+    ConfigurationFetcher m_fetcher;
     EdgeServer m_callers;
     EdgeServer m_readiness;
     EdgeServer m_reports;
--- a/src/mesh/meshpeers.cpp
+++ b/src/mesh/meshpeers.cpp
@@ -7,8 +7,9 @@
 namespace banyankeel
 {
 
-MeshPeers::MeshPeers(const NodeId &self)
+MeshPeers::MeshPeers(const NodeId &self, const Place &place)
     : m_self(self)
+    , m_place(place)
 {
 }
 
@@ -78,6 +79,14 @@
     return lost;
 }
 
+PeerDistance MeshPeers::distanceTo(const Place &place) const
+{
+    if (place.region != m_place.region) {
+        return PeerDistance::OtherRegion;
+    }
+    return place == m_place ? PeerDistance::FailureDomain : PeerDistance::Region;
+}
+
 bool MeshPeers::isAmongFirst(std::size_t count) const
 {
     const std::uint64_t own = targetNameHash(m_self.text());
--- a/src/mesh/meshpeers.h
+++ b/src/mesh/meshpeers.h
@@ -2,10 +2,11 @@
 
 // The other nodes known to this node, from the store's roster and from their reports.
 //
-//   MeshPeers peers(self);
+//   MeshPeers peers(self, place);
 //   peers.addFromRoster(peer, now);
 //   KnownPeer &known = peers.recordReport(from, report, now);
 
+#include "coordination/feed/configurationfetcher.h"
 #include "protocol/hostrow.h"
 #include "protocol/nodereport.h"
 #include "state/peer.h"
@@ -34,7 +35,8 @@
 class MeshPeers
 {
 public:
-    explicit MeshPeers(const NodeId &self);
+    /// @param place the place of this node.
+    MeshPeers(const NodeId &self, const Place &place);
 
     /// Adds a peer from a roster row. Returns true if the node was not known.
     bool addFromRoster(const Peer &peer, TimePoint now);
@@ -47,6 +49,7 @@
     /// Removes unreachable peers that have sent no report for longer than @p limit. Returns them.
     std::vector<NodeId> removeUnreachable(TimePoint now, Duration limit);
     void remove(const NodeId &node);
+    [[nodiscard]] PeerDistance distanceTo(const Place &place) const;
     /// Returns whether this node ranks among the first @p count reachable nodes, in a hash order that is the same on all nodes and spreads over
     /// failure domains.
     [[nodiscard]] bool isAmongFirst(std::size_t count) const;
@@ -62,6 +65,7 @@
 
 private:
     NodeId m_self;
+    Place m_place;
     std::map<NodeId, KnownPeer> m_peers;
 };
 
