Three nodes of a region follow the store, and pass a configuration on to the others

Cause: each node had a long poll open, so that the store sent each document once to every node of the far region, over one link. With nodes and routes the time until the last of them has a version grows with both. Change: the first three nodes of a region, in an order that all nodes share, follow the store; they tell their region at once when they have a version, and the others ask them. Reports say whether a node reaches the store: one that does not is replaced by the next in order and goes on trying. A document from a peer names the store's row version, so that a node that starts to follow does not read it again.

--- a/src/coordination/feed/configurationfeed.cpp
+++ b/src/coordination/feed/configurationfeed.cpp
@@ -44,7 +44,7 @@
     handleSuccess();
     m_lastVersion = read->newest;
     applyRows(read->rows);
-    follow();
+    followOrPause();
 }
 
 void ConfigurationFeed::follow()
@@ -52,6 +52,23 @@
     m_hooks.follow({.table = m_settings.row.table, .after = m_lastVersion, .wait = m_settings.wait}, [this](const FollowReply &reply) { handleReply(reply); });
 }
 
+void ConfigurationFeed::followOrPause()
+{
+    if (m_isFollowing) {
+        follow();
+    } else {
+        m_isPaused = true;
+    }
+}
+
+void ConfigurationFeed::setFollowing(bool isFollowing)
+{
+    m_isFollowing = isFollowing;
+    if (m_isFollowing && !m_isStopped && std::exchange(m_isPaused, false)) {
+        follow();
+    }
+}
+
 void ConfigurationFeed::handleReply(const FollowReply &reply)
 {
     if (m_isStopped) {
@@ -61,7 +78,7 @@
         handleSuccess();
         m_lastVersion = std::max(m_lastVersion, changed->newest);
         applyRows(changed->rows);
-        follow();
+        followOrPause();
     } else if (std::holds_alternative<HistoryLost>(reply)) {
         m_hooks.reportProblem("configuration-history-lost", "reading the table again");
         readRow();
@@ -74,19 +91,19 @@
 {
     for (const Row &it : rows) {
         if (it.key == m_settings.row) {
-            handleDocument(it.value, StoreSource);
+            handleDocument({it.value, it.version}, StoreSource);
         }
     }
 }
 
-void ConfigurationFeed::handleDocument(const std::string &document, std::string_view source)
+void ConfigurationFeed::handleDocument(const ConfigurationDocument &document, std::string_view source)
 {
-    if (m_isStopped || (m_current && document == m_document)) {
+    if (m_isStopped || (m_current && document.text == m_document.text)) {
         return;
     }
     MeshConfigurationPointer found;
     try {
-        found = m_hooks.decode(document);
+        found = m_hooks.decode(document.text);
     } catch (const Error &it) {
         // The last valid configuration stays in force.
         m_hooks.reportProblem("configuration-unreadable", it.what());
@@ -97,6 +114,8 @@
     }
     m_current = std::move(found);
     m_document = document;
+    // The store need not send this document again.
+    m_lastVersion = std::max(m_lastVersion, document.rowVersion);
     m_hooks.changed(m_current, source);
 }
 
--- a/src/coordination/feed/configurationfeed.h
+++ b/src/coordination/feed/configurationfeed.h
@@ -1,11 +1,12 @@
 #pragma once
 
-// Keeps a node's configuration up to date from the platform's store, and from peers while the store is unavailable.
+// Keeps a node's configuration up to date from the platform's store and from peers.
 //
 //   ConfigurationFeed feed({.table = "op", .key = "config"}, hooks);
 //   feed.start();
 //   feed.handleDocument(document, peer.text());
 
+#include "protocol/nodereport.h"
 #include "protocol/storefeed.h"
 #include "protocol/storemessages.h"
 #include "state/meshconfiguration.h"
@@ -60,8 +61,11 @@
     {
         m_settings.wait = wait;
     }
+    /// Sets whether this node follows the store. If not, it finishes the request in progress, repeats it while the store is unavailable, and otherwise
+    /// relies on peers.
+    void setFollowing(bool isFollowing);
     /// Handles a document from @p source, which is not the store.
-    void handleDocument(const std::string &document, std::string_view source);
+    void handleDocument(const ConfigurationDocument &document, std::string_view source);
 
     /// Null until a configuration is known.
     [[nodiscard]] const MeshConfigurationPointer &current() const
@@ -69,7 +73,7 @@
         return m_current;
     }
     /// The document of current().
-    [[nodiscard]] const std::string &document() const
+    [[nodiscard]] const ConfigurationDocument &document() const
     {
         return m_document;
     }
@@ -86,6 +90,7 @@
     void readRow();
     void handleReply(const StoreReply &reply);
     void follow();
+    void followOrPause();
     void handleReply(const FollowReply &reply);
     void applyRows(const std::vector<Row> &rows);
     void handleFailure(const std::string &detail, void (ConfigurationFeed::*next)());
@@ -94,9 +99,13 @@
     ConfigurationFeedSettings m_settings;
     ConfigurationFeedHooks m_hooks;
     MeshConfigurationPointer m_current;
-    std::string m_document;
+    ConfigurationDocument m_document;
+    /// Changes up to this version are known.
     RowVersion m_lastVersion = 0;
     std::uint32_t m_consecutiveFailures = 0;
+    bool m_isFollowing = true;
+    /// No request is in progress because this node does not follow the store.
+    bool m_isPaused = false;
     bool m_isStopped = false;
 };
 
--- a/src/coordination/feed/test/configurationfeed_test.cpp
+++ b/src/coordination/feed/test/configurationfeed_test.cpp
@@ -99,7 +99,7 @@
 {
     FeedFixture fixture;
     fixture.replyToRead("7", 40);
-    fixture.m_feed.handleDocument("6", "peer");
+    fixture.m_feed.handleDocument({"6", 39}, "peer");
     fixture.replyToFollow(RowsChanged{FeedFixture::rowsOf("5", 44), 44});
     fixture.replyToFollow(HistoryLost{});
     fixture.replyToRead("4", 45);
@@ -147,7 +147,7 @@
 {
     FeedFixture fixture;
     std::exchange(fixture.m_readReply, nullptr)(Unavailable);
-    fixture.m_feed.handleDocument("8", "peer");
+    fixture.m_feed.handleDocument({"8", 39}, "peer");
     BOOST_CHECK((fixture.m_versions == std::vector<int>{8}));
     BOOST_CHECK_EQUAL(fixture.m_source, "peer");
 }
@@ -163,4 +163,40 @@
     BOOST_CHECK(first < fixture.m_wait);
 }
 
+BOOST_AUTO_TEST_CASE(ANodeThatDoesNotFollowEndsItsRequestAndMakesNoOther)
+{
+    FeedFixture fixture;
+    fixture.m_feed.setFollowing(false);
+    fixture.replyToRead("3", 40);
+    BOOST_CHECK(!fixture.m_followReply);
+    fixture.m_feed.setFollowing(true);
+    BOOST_REQUIRE(fixture.m_followReply);
+    fixture.m_feed.setFollowing(false);
+    fixture.replyToFollow(RowsChanged{FeedFixture::rowsOf("4", 50), 50});
+    BOOST_CHECK(!fixture.m_followReply);
+    BOOST_CHECK((fixture.m_versions == std::vector<int>{3, 4}));
+}
+
+BOOST_AUTO_TEST_CASE(ANodeThatDoesNotFollowTriesAgainWhileTheStoreIsUnavailable)
+{
+    FeedFixture fixture;
+    fixture.m_feed.setFollowing(false);
+    std::exchange(fixture.m_readReply, nullptr)(Unavailable);
+    fixture.runTask();
+    BOOST_REQUIRE(fixture.m_readReply);
+    fixture.replyToRead("3", 40);
+    BOOST_CHECK(fixture.m_feed.isStoreReachable());
+    BOOST_CHECK(!fixture.m_followReply);
+}
+
+BOOST_AUTO_TEST_CASE(ADocumentOfAPeerIsNotReadFromTheStoreAgain)
+{
+    FeedFixture fixture;
+    fixture.m_feed.setFollowing(false);
+    fixture.replyToRead("3", 40);
+    fixture.m_feed.handleDocument({"5", 44}, "peer");
+    fixture.m_feed.setFollowing(true);
+    BOOST_CHECK_EQUAL(fixture.m_after, 44);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/mesh/meshnode.cpp
+++ b/src/mesh/meshnode.cpp
@@ -184,7 +184,7 @@
               {"routes", std::to_string(objects.routes.size())},
               {"organisations", std::to_string(objects.organisations.size())},
               {"source", std::string(source)},
-              {"bytes", std::to_string(m_feed.document().size())},
+              {"bytes", std::to_string(m_feed.document().text.size())},
               {"decode-ms", formatMilliseconds(m_configurationDecodeTime)}});
     m_rateLimiter.configure(objects.organisations, bootTime());
     m_admission.configure(objects);
@@ -196,6 +196,11 @@
     limits.idleTimeout = m_idleTime + IdleTimeMargin;
     m_callers.setLimits(limits);
     probeStoredTarget();
+    // Peers of the region have been notified by the peer of the region that provided this configuration.
+    const KnownPeer *peer = source == ConfigurationFeed::StoreSource ? nullptr : m_peers.find(NodeId(std::string(source)));
+    if (peer == nullptr || m_peers.distanceTo(peer->peer.place) == PeerDistance::OtherRegion) {
+        notifyRegion();
+    }
 }
 
 void MeshNode::Impl::wakeEntryAt(TimePoint time)
@@ -223,6 +228,7 @@
         const TimePoint now = bootTime();
         m_target.expireQueued();
         m_meter.recordLoad(m_target.attemptCount(), now);
+        updateFeed();
         reportIfDue(now);
         fetchConfiguration();
         if (now - m_rosterReadAt >= RosterInterval) {
--- a/src/mesh/meshnode_fleet.cpp
+++ b/src/mesh/meshnode_fleet.cpp
@@ -23,11 +23,11 @@
 constexpr Duration UrgentReportInterval = 100ms;
 // One in this many reports is complete, in case a peer missed a change.
 constexpr std::uint32_t ReportsPerCompleteReport = 10;
-// Every node has a long poll open at the store and gets changes at once. The primary readers use a short wait so that a dead connection is noticed
-// quickly; the other nodes learn of a missed change from the primary readers' reports within a second.
-constexpr std::size_t PrimaryConfigurationReaders = 4;
-constexpr Duration PrimaryFollowWait = 1500ms;
-constexpr Duration SecondaryFollowWait = 10s;
+// A few nodes of each region have a long poll open at the store, and pass changes on to the others, so that a large document crosses between regions a few
+// times only. The first of them uses a short wait so that a dead connection is noticed quickly.
+constexpr std::size_t FollowersPerRegion = 3;
+constexpr Duration FirstFollowerWait = 1500ms;
+constexpr Duration FollowerWait = 3s;
 // Two missed reports at one report per second, plus network delay.
 constexpr Duration PeerSilenceLimit = 2200ms;
 // Rows of nodes that are gone permanently stay in the store's roster; such peers are contacted no longer than partitions and restarts last.
@@ -186,7 +186,7 @@
     case MessageType::ConfigurationDocument:
         m_metrics.recordConfigurationDocument("received", envelope.payload.size());
         m_fetcher.recordDocument(from.node);
-        m_feed.handleDocument(ConfigurationDocument::decode(envelope).text, from.node.text());
+        m_feed.handleDocument(ConfigurationDocument::decode(envelope), from.node.text());
         fetchConfiguration();
         return;
     default:
@@ -237,9 +237,9 @@
              "configuration-sent",
              {{"peer", to.node.text()},
               {"version", std::to_string(static_cast<std::uint64_t>(m_feed.version()))},
-              {"bytes", std::to_string(m_feed.document().size())}});
-    m_metrics.recordConfigurationDocument("sent", m_feed.document().size());
-    m_network->send(to.endpoint, ConfigurationDocument{m_feed.document()}.encode());
+              {"bytes", std::to_string(m_feed.document().text.size())}});
+    m_metrics.recordConfigurationDocument("sent", m_feed.document().text.size());
+    m_network->send(to.endpoint, m_feed.document().encode());
 }
 
 void MeshNode::Impl::setReachable(KnownPeer &peer, bool isReachable, std::string_view reason)
@@ -289,6 +289,7 @@
         .uses = m_rateLimiter.reported(),
         .isStopping = m_isStopping,
         .load = m_load,
+        .isStoreReachable = m_feed.isStoreReachable(),
     };
     m_network->send(to.peer.endpoint, report.encode());
 }
@@ -324,6 +325,7 @@
         .uses = m_rateLimiter.report(scope, m_lastReportSentAt),
         .isStopping = m_isStopping,
         .load = scope == ReportScope::Changed ? std::optional(measureLoad(m_lastReportSentAt)) : std::nullopt,
+        .isStoreReachable = m_feed.isStoreReachable(),
     };
     const Envelope message = report.encode();
     for (const auto &[node, peer] : m_peers.all()) {
@@ -331,11 +333,46 @@
     }
 }
 
+void MeshNode::Impl::notifyRegion()
+{
+    if (!m_network) {
+        return;
+    }
+    const NodeReport report{
+        .asksReply = false,
+        .isComplete = false,
+        .configuration = m_feed.version(),
+        .target = std::nullopt,
+        .departures = {},
+        .receiverDepartures = {},
+        .uses = {},
+        .isStopping = m_isStopping,
+        .isStoreReachable = m_feed.isStoreReachable(),
+    };
+    const Envelope message = report.encode();
+    for (const auto &[node, peer] : m_peers.all()) {
+        if (peer.isReachable && m_peers.distanceTo(peer.peer.place) != PeerDistance::OtherRegion) {
+            m_network->send(peer.peer.endpoint, message);
+        }
+    }
+}
+
+void MeshNode::Impl::updateFeed()
+{
+    const std::size_t rank = m_peers.regionRank();
+    m_fetcher.setRegionRank(rank);
+    m_feed.setWait(rank == 0 ? FirstFollowerWait : FollowerWait);
+    m_feed.setFollowing(rank < FollowersPerRegion);
+    // A follower that loses the store is replaced by the next node in order.
+    if (std::exchange(m_wasStoreReachable, m_feed.isStoreReachable()) != m_feed.isStoreReachable()) {
+        notifyRegion();
+    }
+}
+
 void MeshNode::Impl::reportIfDue(TimePoint now)
 {
     if (now - m_changesSentAt >= ReportInterval) {
         checkPeers(now);
-        m_feed.setWait(m_peers.isAmongFirst(PrimaryConfigurationReaders) ? PrimaryFollowWait : SecondaryFollowWait);
         m_reportsSinceComplete = (m_reportsSinceComplete + 1) % ReportsPerCompleteReport;
         if (m_reportsSinceComplete == 0) {
             sendCompleteReports(false);
--- a/src/mesh/meshnodeimpl.h
+++ b/src/mesh/meshnodeimpl.h
@@ -76,6 +76,10 @@
     void sendCompleteReport(const KnownPeer &to, bool asksReply);
     /// Sends all peers the changes only, which keeps most reports small.
     void sendBriefReports(ReportScope scope);
+    /// Tells the peers of the own region which configuration this node has and whether it reaches the store.
+    void notifyRegion();
+    /// Decides whether this node follows the store.
+    void updateFeed();
     void reportIfDue(TimePoint now);
     /// Measures the load. This node bases its decisions on the same report as its peers.
     const LoadReport &measureLoad(TimePoint now);
@@ -134,6 +138,7 @@
     Duration m_configurationDecodeTime = Duration::zero();
     LogRateLimiter m_requestLog;
     bool m_wasShort = false;
+    bool m_wasStoreReachable = true;
     bool m_isRegistered = false;
     bool m_isStopping = false;
     bool m_isStopped = false;
--- a/src/mesh/meshpeers.cpp
+++ b/src/mesh/meshpeers.cpp
@@ -32,6 +32,7 @@
     known.peer = from;
     known.lastReportAt = now;
     known.isStopping = report.isStopping;
+    known.isStoreReachable = report.isStoreReachable;
     // A process that has just started may not have read its own row yet, so departures missing from its report are kept.
     for (const TargetDeparture &it : report.departures) {
         std::erase_if(known.departures, [&it](const TargetDeparture &old) { return old.name == it.name && old.startedUntil < it.startedUntil; });
@@ -87,11 +88,13 @@
     return place == m_place ? PeerDistance::FailureDomain : PeerDistance::Region;
 }
 
-bool MeshPeers::isAmongFirst(std::size_t count) const
+std::size_t MeshPeers::regionRank() const
 {
     const std::uint64_t own = targetNameHash(m_self.text());
-    const auto before = std::ranges::count_if(m_peers, [own](const auto &it) { return it.second.isReachable && targetNameHash(it.first.text()) < own; });
-    return static_cast<std::size_t>(before) < count;
+    return static_cast<std::size_t>(std::ranges::count_if(m_peers, [&](const auto &entry) {
+        const auto &[node, it] = entry;
+        return it.isReachable && !it.isStopping && it.isStoreReachable && it.peer.place.region == m_place.region && targetNameHash(node.text()) < own;
+    }));
 }
 
 void MeshPeers::remove(const NodeId &node)
--- a/src/mesh/meshpeers.h
+++ b/src/mesh/meshpeers.h
@@ -27,6 +27,8 @@
     TimePoint knownSince;
     bool isReachable = false;
     bool isStopping = false;
+    /// Whether the peer can follow the configuration in the store.
+    bool isStoreReachable = true;
     /// Departures of its target.
     std::vector<TargetDeparture> departures;
 };
@@ -50,9 +52,9 @@
     std::vector<NodeId> removeUnreachable(TimePoint now, Duration limit);
     void remove(const NodeId &node);
     [[nodiscard]] PeerDistance distanceTo(const Place &place) const;
-    /// Returns whether this node ranks among the first @p count reachable nodes, in a hash order that is the same on all nodes and spreads over
-    /// failure domains.
-    [[nodiscard]] bool isAmongFirst(std::size_t count) const;
+    /// The number of peers of the own region that come before this node, in a hash order that is the same on all nodes and spreads over failure domains.
+    /// Counts those that are reachable, keep running and reach the store.
+    [[nodiscard]] std::size_t regionRank() const;
 
     [[nodiscard]] std::map<NodeId, KnownPeer> &all()
     {
--- a/src/protocol/nodereport.cpp
+++ b/src/protocol/nodereport.cpp
@@ -94,6 +94,7 @@
     } else {
         writer.absent();
     }
+    writer.flag(isStoreReachable);
     return {MessageType::NodeReport, writer.take()};
 }
 
@@ -116,6 +117,7 @@
     if (!reader.absent()) {
         load = readLoadReport(reader);
     }
+    const bool isStoreReachable = reader.flag("store reachable");
     reader.finish();
     return {
         asksReply,
@@ -127,6 +129,7 @@
         std::move(uses),
         isStopping,
         std::move(load),
+        isStoreReachable,
     };
 }
 
@@ -150,6 +153,7 @@
 {
     WireWriter writer;
     writer.bytes(text);
+    writer.number(rowVersion);
     return {MessageType::ConfigurationDocument, writer.take()};
 }
 
@@ -158,8 +162,9 @@
     requireType(envelope, MessageType::ConfigurationDocument, "configuration document");
     WireReader reader(envelope.payload, "configuration document");
     std::string text = reader.bytes("text");
+    const RowVersion rowVersion = reader.number("row version");
     reader.finish();
-    return {std::move(text)};
+    return {std::move(text), rowVersion};
 }
 
 } // namespace banyankeel
--- a/src/protocol/nodereport.h
+++ b/src/protocol/nodereport.h
@@ -4,6 +4,7 @@
 
 #include "protocol/envelope.h"
 #include "protocol/loadreport.h"
+#include "protocol/storemessages.h"
 #include "state/identifier.h"
 #include "state/meshconfiguration.h"
 #include "state/targetrecord.h"
@@ -57,6 +58,8 @@
     bool isStopping;
     /// Absent if there is no new measurement.
     std::optional<LoadReport> load = std::nullopt;
+    /// Whether the sender can follow the configuration in the store.
+    bool isStoreReachable = true;
 
     [[nodiscard]] Envelope encode() const;
     /// @throws ProtocolError, IdentifierError, ValueError on malformed payloads.
@@ -76,9 +79,10 @@
     friend auto operator<=>(const ConfigurationRequest &, const ConfigurationRequest &) = default;
 };
 
-/// The text of a configuration as published.
+/// The text of a configuration as published, and the version of the store's row that holds it.
 struct ConfigurationDocument {
     std::string text;
+    RowVersion rowVersion;
 
     [[nodiscard]] Envelope encode() const;
     /// @throws ProtocolError on malformed payloads.
--- a/src/protocol/test/nodereport_test.cpp
+++ b/src/protocol/test/nodereport_test.cpp
@@ -20,6 +20,7 @@
         .uses = {{OrganisationId("amsel"), -3, 0.25}, {OrganisationId("star"), 100'000, 12.5}},
         .isStopping = false,
         .load = LoadReport{ServiceName("archive"), 8, 2.5, {}, {}, {}, {}},
+        .isStoreReachable = false,
     });
 }
 
@@ -40,4 +41,9 @@
     BOOST_TEST(report.encode().payload.size() <= MostBytes);
 }
 
+BOOST_AUTO_TEST_CASE(AConfigurationDocumentReadsBack)
+{
+    checkReadsBack(ConfigurationDocument{"{\"version\":\"r7\"}", 44});
+}
+
 BOOST_AUTO_TEST_SUITE_END()
