A reply of the store that is still arriving is not cut at the time limit

What callers saw: after a restart of all nodes, 503 in one region for five seconds. Cause: a read of the configuration had 0.9 s, a follow 0.5 s beyond its wait, for all of the answer. Forty nodes that start together in the region away from the store read 0.34 MB each over a link of 8 MB/s, which takes 1.7 s, so that each of them gave up and read again: the link was full of answers that nobody took to the end. Change: PoolCall::stallLimit. A store that does not answer is found as quickly as before. Test: AResponseThatKeepsArrivingIsNotCutAtTheTimeLimit fails without the extension (the connection is closed at the time limit) and passes with it.

--- a/src/edge/httpconnectionpool.cpp
+++ b/src/edge/httpconnectionpool.cpp
@@ -73,7 +73,7 @@
             return id;
         }
         const TimePoint deadline = steadyNow() + call.timeLimit;
-        m_calls.emplace(id, Call{connection, std::move(handler), m_deadlines.emplace(deadline, id)});
+        m_calls.emplace(id, Call{connection, std::move(handler), m_deadlines.emplace(deadline, id), call.stallLimit, deadline + MaxTimeLimitExtension});
         connection->send(id, std::move(call));
         armTimer();
         return id;
@@ -135,6 +135,8 @@
         ConnectionPointer connection;
         Handler handler;
         Deadlines::iterator deadline;
+        Duration stallLimit;
+        TimePoint latestDeadline;
     };
 
     ConnectionPointer takeConnection(bool isRepeatable)
@@ -201,12 +203,25 @@
         });
     }
 
+    /// The time until which a call whose time limit has passed may go on.
+    [[nodiscard]] static TimePoint extendedDeadline(const Call &call)
+    {
+        const std::optional<TimePoint> receivedAt = call.connection->receivedAt();
+        return receivedAt ? std::min(*receivedAt + call.stallLimit, call.latestDeadline) : TimePoint::min();
+    }
+
     void expireCalls()
     {
         const TimePoint now = steadyNow();
         while (!m_deadlines.empty() && m_deadlines.begin()->first <= now) {
             const PoolCallId id = m_deadlines.begin()->second;
-            const ConnectionPointer connection = m_calls.at(id).connection;
+            Call &call = m_calls.at(id);
+            if (const TimePoint extended = extendedDeadline(call); extended > now) {
+                m_deadlines.erase(call.deadline);
+                call.deadline = m_deadlines.emplace(extended, id);
+                continue;
+            }
+            const ConnectionPointer connection = call.connection;
             connection->fail(Reason::DeadlineExpired, "no response within the time limit");
         }
     }
--- a/src/edge/httpconnectionpool.h
+++ b/src/edge/httpconnectionpool.h
@@ -40,12 +40,17 @@
     HttpRequest request;
     /// Must be positive.
     Duration timeLimit;
+    /// If positive, a response that has begun is not cut at the time limit while parts of it keep arriving within this time, up to MaxTimeLimitExtension.
+    Duration stallLimit = Duration::zero();
     bool isRepeatable = true;
     /// Whether @p response belongs to this call. Responses that don't are skipped: if a server sends a response twice, the second one arrives where
     /// the response to the next call is expected. If unset, the first response is accepted.
     std::function<bool(const HttpResponse &response)> isAnswer = nullptr;
 };
 
+/// Bounds how long a slow server can extend a call.
+inline constexpr Duration MaxTimeLimitExtension = std::chrono::seconds(10);
+
 /// Identifies a call in flight.
 enum class PoolCallId : std::uint64_t {};
 
--- a/src/edge/pooledconnection.cpp
+++ b/src/edge/pooledconnection.cpp
@@ -93,6 +93,7 @@
 void PooledConnection::startCall()
 {
     m_state = State::Busy;
+    m_receivedAt.reset();
     m_reader.reset();
     m_isHeadRequest = m_call.request.method == "HEAD";
     if (m_isHeadRequest) {
@@ -180,6 +181,7 @@
         close();
         return;
     }
+    m_receivedAt = steadyNow();
     m_unparsed += bytes;
     while (m_state == State::Busy && !m_unparsed.empty()) {
         const std::size_t used = m_reader.read(m_unparsed);
--- a/src/edge/pooledconnection.h
+++ b/src/edge/pooledconnection.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 
@@ -49,6 +50,11 @@
     {
         return m_idleTimeout;
     }
+    /// When the last part of the response to the call in flight arrived; absent before the first one.
+    [[nodiscard]] std::optional<TimePoint> receivedAt() const
+    {
+        return m_receivedAt;
+    }
     [[nodiscard]] TimePoint idleSince() const
     {
         return m_idleSince;
@@ -91,6 +97,7 @@
     bool m_isReadPending = false;
     bool m_isHeadRequest = false;
     TimePoint m_idleSince;
+    std::optional<TimePoint> m_receivedAt;
 };
 
 } // namespace banyankeel
--- a/src/edge/test/httpconnectionpool_test.cpp
+++ b/src/edge/test/httpconnectionpool_test.cpp
@@ -32,7 +32,7 @@
         m_ioThread.run([this] { m_pool.reset(); });
     }
 
-    std::future<HttpResult> send(const std::string &id, std::string body = {}, Duration limit = HangTimeout)
+    std::future<HttpResult> send(const std::string &id, std::string body = {}, Duration limit = HangTimeout, Duration stallLimit = Duration::zero())
     {
         auto promise = std::make_shared<std::promise<HttpResult>>();
         std::future<HttpResult> result = promise->get_future();
@@ -40,6 +40,7 @@
             PoolCall call{
                 .request = {.method = body.empty() ? "GET" : "POST", .target = "/" + id, .headers = {{"Host", "a"}}, .body = std::move(body)},
                 .timeLimit = limit,
+                .stallLimit = stallLimit,
                 .isAnswer = [id](const HttpResponse &response) { return findHeader(response.headers, "Id") == id; },
             };
             return m_pool->send(std::move(call), [promise](HttpResult it) { promise->set_value(std::move(it)); });
@@ -212,4 +213,33 @@
     rig.run([&] { pool.reset(); });
 }
 
+BOOST_AUTO_TEST_CASE(AResponseThatKeepsArrivingIsNotCutAtTheTimeLimit)
+{
+    constexpr int Parts = 100;
+    PoolFixture rig;
+    std::future<HttpResult> result = rig.send("1", {}, 500ms, HangTimeout);
+    const std::unique_ptr<RawConnection> server = rig.accept();
+    server->readUntil("\r\n\r\n");
+    server->write(OkHead + "Content-Length: " + std::to_string(Parts) + "\r\n\r\n");
+    for (int n = 0; n < Parts; ++n) {
+        std::this_thread::sleep_for(10ms);
+        server->write("x");
+    }
+    const HttpResult found = result.get();
+    BOOST_REQUIRE(found.response);
+    BOOST_CHECK_EQUAL(found.response->body, std::string(Parts, 'x'));
+}
+
+BOOST_AUTO_TEST_CASE(AResponseThatStopsArrivingIsCutAfterTheStallLimit)
+{
+    PoolFixture rig;
+    std::future<HttpResult> result = rig.send("1", {}, 100ms, 50ms);
+    const std::unique_ptr<RawConnection> server = rig.accept();
+    server->readUntil("\r\n\r\n");
+    server->write(OkHead + "Content-Length: 9\r\n\r\nhello");
+    const HttpResult found = result.get();
+    BOOST_CHECK(!found.response);
+    BOOST_CHECK(found.reason == Reason::DeadlineExpired);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
