A starting node reads the configuration from the store only if it is among the first of its region

What callers saw: after a restart of all nodes, 503 in the region away from the store until its nodes had a configuration. Cause: each starting node read the whole document, so that the store sent forty copies over one link, before any node could help another. Change: the first three nodes of a region read it, by their rank among the nodes that the roster names, and three more after each 0.2 s without a configuration, so that nodes that are gone hold nobody up. The others ask a node of their region. A feed that starts with a peer's document follows from its row. Nodes of another region are asked by rank with a step of 0.1 s, and no longer all within 0.9 s.

--- a/src/coordination/feed/configurationfeed.cpp
+++ b/src/coordination/feed/configurationfeed.cpp
@@ -16,7 +16,14 @@
 
 void ConfigurationFeed::start()
 {
-    readRow();
+    if (m_isStopped || std::exchange(m_isStarted, true)) {
+        return;
+    }
+    if (m_current) {
+        followOrPause();
+    } else {
+        readRow();
+    }
 }
 
 void ConfigurationFeed::stop()
--- a/src/coordination/feed/configurationfeed.h
+++ b/src/coordination/feed/configurationfeed.h
@@ -53,7 +53,12 @@
 
     ConfigurationFeed(ConfigurationFeedSettings settings, ConfigurationFeedHooks hooks);
 
+    /// Reads the store's row, or follows it if a peer has provided a configuration already. No effect if called again.
     void start();
+    [[nodiscard]] bool isStarted() const
+    {
+        return m_isStarted;
+    }
     /// Stops requests and changes.
     void stop();
     /// Sets the long-poll time from the next request on. A longer time causes fewer requests but delays the detection of a lost connection.
@@ -103,6 +108,7 @@
     /// Changes up to this version are known.
     RowVersion m_lastVersion = 0;
     std::uint32_t m_consecutiveFailures = 0;
+    bool m_isStarted = false;
     bool m_isFollowing = true;
     /// No request is in progress because this node does not follow the store.
     bool m_isPaused = false;
--- a/src/coordination/feed/configurationfetcher.h
+++ b/src/coordination/feed/configurationfetcher.h
@@ -34,8 +34,8 @@
     /// How long the store and the peers of the own region have to provide a configuration that another region already has.
     Duration remoteDelay = std::chrono::milliseconds(300);
     /// Added for each node of the region that ranks before this one, so that the first node fetches the document and the others get it from that one.
-    Duration remoteDelayPerRank = std::chrono::milliseconds(60);
-    Duration maxRemoteDelay = std::chrono::milliseconds(900);
+    Duration remoteDelayPerRank = std::chrono::milliseconds(100);
+    Duration maxRemoteDelay = std::chrono::seconds(5);
 
     friend auto operator<=>(const ConfigurationFetcherSettings &, const ConfigurationFetcherSettings &) = default;
 };
--- a/src/coordination/feed/test/configurationfeed_test.cpp
+++ b/src/coordination/feed/test/configurationfeed_test.cpp
@@ -27,7 +27,7 @@
 class FeedFixture
 {
 public:
-    FeedFixture()
+    explicit FeedFixture(bool isStarted = true)
         : m_feed({.row = {"op", "config"}},
                  {
                      .ask = [this](const StoreRequest &, std::function<void(StoreReply)> reply) { m_readReply = std::move(reply); },
@@ -48,7 +48,9 @@
                      .storeRegained = [this] { ++m_regained; },
                  })
     {
-        m_feed.start();
+        if (isStarted) {
+            m_feed.start();
+        }
     }
 
     static std::vector<Row> rowsOf(const std::string &document, RowVersion version)
@@ -199,4 +201,14 @@
     BOOST_CHECK_EQUAL(fixture.m_after, 44);
 }
 
+BOOST_AUTO_TEST_CASE(AFeedThatStartsWithAPeersConfigurationFollowsFromItsRow)
+{
+    FeedFixture fixture(false);
+    fixture.m_feed.handleDocument({"5", 44}, "peer");
+    fixture.m_feed.start();
+    BOOST_CHECK(!fixture.m_readReply);
+    BOOST_REQUIRE(fixture.m_followReply);
+    BOOST_CHECK_EQUAL(fixture.m_after, 44);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/mesh/meshnode.cpp
+++ b/src/mesh/meshnode.cpp
@@ -151,8 +151,8 @@
         LogLevel::Info,
         "listening",
         {{"node", m_settings.node.text()}, {"service", m_settings.service.text()}, {"callers", m_settings.callers.text()}, {"peers", m_settings.peers.text()}});
+    m_startedAt = bootTime();
     readRoster();
-    m_feed.start();
     runAfter(StoreTimeout, [this] { joinFleet(Incarnation{}); });
     tick();
 }
@@ -228,7 +228,7 @@
         const TimePoint now = bootTime();
         m_target.expireQueued();
         m_meter.recordLoad(m_target.attemptCount(), now);
-        updateFeed();
+        updateFeed(now);
         reportIfDue(now);
         fetchConfiguration();
         if (now - m_rosterReadAt >= RosterInterval) {
--- a/src/mesh/meshnode_fleet.cpp
+++ b/src/mesh/meshnode_fleet.cpp
@@ -28,6 +28,10 @@
 constexpr std::size_t FollowersPerRegion = 3;
 constexpr Duration FirstFollowerWait = 1500ms;
 constexpr Duration FollowerWait = 3s;
+// Within this time a starting node has usually read the roster, and then knows whether it is among the first that read the configuration.
+constexpr Duration RosterTime = 100ms;
+// After each such time without a configuration, as many further nodes of a region read it.
+constexpr Duration InitialReaderInterval = 200ms;
 // Two missed reports at one report per second, plus network delay.
 constexpr Duration PeerSilenceLimit = 2200ms;
 // Rows of nodes that are gone permanently stay in the store's roster; such peers are contacted no longer than partitions and restarts last.
@@ -357,9 +361,20 @@
     }
 }
 
-void MeshNode::Impl::updateFeed()
+bool MeshNode::Impl::isInitialReader(TimePoint now) const
+{
+    // Nodes that start together have not heard from each other yet, but the roster names them all. Those that come first may be gone.
+    const Duration age = now - m_startedAt;
+    const auto readers = static_cast<std::size_t>(FollowersPerRegion * (1 + age / InitialReaderInterval));
+    return age >= RosterTime && m_peers.rosterRank() < readers;
+}
+
+void MeshNode::Impl::updateFeed(TimePoint now)
 {
     const std::size_t rank = m_peers.regionRank();
+    if (m_feed.current() ? rank < FollowersPerRegion : isInitialReader(now)) {
+        m_feed.start();
+    }
     m_fetcher.setRegionRank(rank);
     m_feed.setWait(rank == 0 ? FirstFollowerWait : FollowerWait);
     m_feed.setFollowing(rank < FollowersPerRegion);
--- a/src/mesh/meshnodeimpl.h
+++ b/src/mesh/meshnodeimpl.h
@@ -78,8 +78,10 @@
     void sendBriefReports(ReportScope scope);
     /// Tells the peers of the own region which configuration this node has and whether it reaches the store.
     void notifyRegion();
+    /// Whether this node, which has no configuration yet, is to read it from the store.
+    [[nodiscard]] bool isInitialReader(TimePoint now) const;
     /// Decides whether this node follows the store.
-    void updateFeed();
+    void updateFeed(TimePoint now);
     void reportIfDue(TimePoint now);
     /// Measures the load. This node bases its decisions on the same report as its peers.
     const LoadReport &measureLoad(TimePoint now);
@@ -143,6 +145,7 @@
     bool m_isStopping = false;
     bool m_isStopped = false;
     bool m_hasDrainedTarget = false;
+    TimePoint m_startedAt{};
     TimePoint m_stopAt{};
     std::function<void()> m_stopped;
 };
--- a/src/mesh/meshpeers.cpp
+++ b/src/mesh/meshpeers.cpp
@@ -88,15 +88,24 @@
     return place == m_place ? PeerDistance::FailureDomain : PeerDistance::Region;
 }
 
+bool MeshPeers::isBefore(const KnownPeer &peer) const
+{
+    return peer.peer.place.region == m_place.region && targetNameHash(peer.peer.node.text()) < targetNameHash(m_self.text());
+}
+
 std::size_t MeshPeers::regionRank() const
 {
-    const std::uint64_t own = targetNameHash(m_self.text());
-    return static_cast<std::size_t>(std::ranges::count_if(m_peers, [&](const auto &entry) {
-        const auto &[node, it] = entry;
-        return it.isReachable && !it.isStopping && it.isStoreReachable && it.peer.place.region == m_place.region && targetNameHash(node.text()) < own;
+    return static_cast<std::size_t>(std::ranges::count_if(m_peers, [this](const auto &entry) {
+        const KnownPeer &it = entry.second;
+        return it.isReachable && !it.isStopping && it.isStoreReachable && isBefore(it);
     }));
 }
 
+std::size_t MeshPeers::rosterRank() const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(m_peers, [this](const auto &entry) { return isBefore(entry.second); }));
+}
+
 void MeshPeers::remove(const NodeId &node)
 {
     m_peers.erase(node);
--- a/src/mesh/meshpeers.h
+++ b/src/mesh/meshpeers.h
@@ -55,6 +55,8 @@
     /// The number of peers of the own region that come before this node, in a hash order that is the same on all nodes and spreads over failure domains.
     /// Counts those that are reachable, keep running and reach the store.
     [[nodiscard]] std::size_t regionRank() const;
+    /// The number of known peers of the own region that come before this node in that order, reachable or not.
+    [[nodiscard]] std::size_t rosterRank() const;
 
     [[nodiscard]] std::map<NodeId, KnownPeer> &all()
     {
@@ -66,6 +68,8 @@
     }
 
 private:
+    [[nodiscard]] bool isBefore(const KnownPeer &peer) const;
+
     NodeId m_self;
     Place m_place;
     std::map<NodeId, KnownPeer> m_peers;
