Test of the spread of configurations sends its report again until the node has replied

Cause: a node listens for peers once it has read the roster. A report sent before that is lost with its connection, and the test waited for the reply to it for ever. Change: the report is sent each 0.2 s until a reply comes. What is checked stays as it was.

--- a/src/mesh/test/configurationspread_test.cpp
+++ b/src/mesh/test/configurationspread_test.cpp
@@ -56,8 +56,10 @@
             .uses = {},
             .isStopping = false,
         };
-        m_networks[n]->send(m_node, report.encode());
-        m_changed.wait(lock, [&] { return m_replies > replies; });
+        // The node may not listen yet.
+        do {
+            m_networks[n]->send(m_node, report.encode());
+        } while (!m_changed.wait_for(lock, 200ms, [&] { return m_replies > replies; }));
     }
     /// The peers that have been asked, in order.
     std::vector<std::size_t> asked()
