--- a/src/mesh/test/mesh_test.cpp
+++ b/src/mesh/test/mesh_test.cpp
@@ -3,6 +3,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <thread>
 
 using namespace banyankeel;
 using namespace banyankeel::testing;
@@ -156,6 +157,35 @@
     BOOST_CHECK_EQUAL(countOf(fleet.seenRequests(), "r3"), 0);
 }
 
+BOOST_AUTO_TEST_CASE(ADepartureThatTheStoreCouldNotTakeIsWrittenWhenItIsBack)
+{
+    MeshFleet fleet({"alpha", "beta"});
+    publishRoutes(fleet);
+    fleet.sendHeartbeat(0);
+    fleet.requestUntil(1, getRequest("/a/1", "r1"), "200");
+    fleet.run([&] { fleet.store().setUnavailable("node-0", true); });
+    fleet.sendHeartbeat(0, true);
+    const auto writes = [&] { return fleet.run([&] { return fleet.store().writesOf("node-0"); }); };
+    const std::uint64_t before = writes();
+    fleet.run([&] { fleet.store().setUnavailable("node-0", false); });
+    const auto deadline = std::chrono::steady_clock::now() + 10s;
+    while (writes() == before && std::chrono::steady_clock::now() < deadline) {
+        std::this_thread::sleep_for(20ms);
+    }
+    // No process is left that remembers it.
+    fleet.kill(0);
+    fleet.kill(1);
+    fleet.start(0);
+    fleet.start(1);
+    fleet.sendHeartbeat(0);
+    fleet.waitUntilConnected();
+    for (int n = 0; n < 50; ++n) {
+        fleet.request(1, getRequest("/a/1", "r2"));
+        std::this_thread::sleep_for(10ms);
+    }
+    BOOST_CHECK_EQUAL(countOf(fleet.seenRequests(), "r2"), 0);
+}
+
 BOOST_AUTO_TEST_CASE(ARequestMovesFromALeavingTargetToAnother)
 {
     MeshFleet fleet({"alpha", "alpha", "beta"});
--- a/src/mesh/test/meshfleet.cpp
+++ b/src/mesh/test/meshfleet.cpp
@@ -45,6 +45,7 @@
     return {
         .send =
             [this, node](const StoreRequest &request, std::function<void(StoreReply)> handler) {
+                m_writes[node] += std::holds_alternative<WriteRows>(request) && !m_unavailable[node] ? 1 : 0;
                 const StoreReply found = m_unavailable[node] ? StoreReply(StoreFailure{RunState::NotRun, "store unavailable"}) : answer(request);
                 reply([handler = std::move(handler), found] { handler(found); });
             },
@@ -341,6 +342,21 @@
     return answer;
 }
 
+void MeshFleet::waitUntilConnected()
+{
+    const std::string line = "\nbanyankeel_reachable_peers " + std::to_string(m_hosts.size() - 1) + '\n';
+    for (const Host &it : m_hosts) {
+        const auto isConnected = [&] {
+            RawConnection connection(it.settings.metrics);
+            connection.write("GET /metrics HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+            return connection.readToEnd().find(line) != std::string::npos;
+        };
+        while (!isConnected()) {
+            std::this_thread::sleep_for(RetryInterval);
+        }
+    }
+}
+
 std::vector<SeenRequest> MeshFleet::seenRequests()
 {
     const std::lock_guard lock(m_mutex);
--- a/src/mesh/test/meshfleet.h
+++ b/src/mesh/test/meshfleet.h
@@ -38,6 +38,11 @@
     }
     /// Requests take effect immediately, but replies are held back until @p isHeld is false again.
     void holdReplies(bool isHeld);
+    /// The number of writes of @p node that succeeded.
+    [[nodiscard]] std::uint64_t writesOf(const std::string &node)
+    {
+        return m_writes[node];
+    }
     /// The nodes whose long poll is open.
     [[nodiscard]] std::set<std::string> followers() const;
 
@@ -61,6 +66,7 @@
     std::map<RowKey, Row> m_rows;
     RowVersion m_newest = 1;
     std::map<std::string, bool> m_unavailable;
+    std::map<std::string, std::uint64_t> m_writes;
     std::vector<Waiter> m_waiters;
     std::uint64_t m_lastWaiter = 0;
     std::vector<std::function<void()>> m_heldReplies;
@@ -105,6 +111,8 @@
     /// Sends a request to a node and reads the whole response. Repeats until the status is @p status, to wait until the fleet has converged.
     std::string requestUntil(std::size_t node, const std::string &head, const std::string &status);
     std::string request(std::size_t node, const std::string &head);
+    /// Waits until every node has heard from every other.
+    void waitUntilConnected();
     std::vector<SeenRequest> seenRequests();
     void waitUntilSeen(std::size_t count);
 
