A node writes its row again until the store has taken it

What callers saw: a target that had left could get requests again after its node and all others had started again, where the store had been away when the departure was acknowledged. Cause: the row that carries a departure was written once. If that failed, the peers alone remembered it, and nobody wrote it when the store was back. A write for an acknowledgement and one for a new boot could also be under way together, so that the older state might be written last. Change: one writer. A change marks the row as outdated; writes follow one another and are repeated until one with the present state has been taken. Test: ADepartureThatTheStoreCouldNotTakeIsWrittenWhenItIsBack failed before (42 of 50 requests reached the target) and passes.

--- a/src/mesh/meshnode_fleet.cpp
+++ b/src/mesh/meshnode_fleet.cpp
@@ -115,6 +115,7 @@
         }
         // Of two nodes that register concurrently, the later one finds the other in this read.
         m_isRegistered = true;
+        writeOutdatedRow();
         readRoster();
     });
 }
@@ -161,6 +162,37 @@
     });
 }
 
+void MeshNode::Impl::persistOwnRow(std::function<void()> written)
+{
+    m_isRowOutdated = true;
+    if (written) {
+        m_rowWaiters.push_back(std::move(written));
+    }
+    writeOutdatedRow();
+}
+
+void MeshNode::Impl::writeOutdatedRow()
+{
+    if (!m_isRowOutdated || m_isWritingRow || !m_isRegistered) {
+        return;
+    }
+    m_isRowOutdated = false;
+    m_isWritingRow = true;
+    writeOwnRow([this, waiters = std::exchange(m_rowWaiters, {})](bool isWritten) {
+        m_isWritingRow = false;
+        if (isWritten) {
+            for (const std::function<void()> &it : waiters) {
+                it();
+            }
+            writeOutdatedRow();
+            return;
+        }
+        m_isRowOutdated = true;
+        m_rowWaiters.insert(m_rowWaiters.begin(), waiters.begin(), waiters.end());
+        runAfter(RegisterRetryInterval, [this] { writeOutdatedRow(); });
+    });
+}
+
 void MeshNode::Impl::handleMessage(const Peer &from, const Envelope &envelope)
 {
     if (m_isStopped) {
--- a/src/mesh/meshnode_target.cpp
+++ b/src/mesh/meshnode_target.cpp
@@ -106,13 +106,12 @@
               {"serving", serving == nullptr ? "no" : "yes"}});
     if (serving != nullptr) {
         m_target.serve(*serving);
-        if (m_isRegistered) {
-            writeOwnRow([](bool) {});
-        }
+        persistOwnRow(nullptr);
         publishTargetRecord(serving->warmUpRemaining > Duration::zero() ? TargetState::Starting : TargetState::Serving);
     } else {
         m_target.stopServing();
         publishTargetRecord(TargetState::Draining);
+        persistOwnRow(nullptr);
     }
 }
 
@@ -135,11 +134,7 @@
         return;
     }
     runAfter(DepartureAckTimeout, [this, respond] { respond(m_adapter.reportResponse); });
-    writeOwnRow([this, respond](bool isWritten) {
-        if (isWritten) {
-            respond(m_adapter.reportResponse);
-        }
-    });
+    persistOwnRow([this, respond] { respond(m_adapter.reportResponse); });
 }
 
 } // namespace banyankeel
--- a/src/mesh/meshnodeimpl.h
+++ b/src/mesh/meshnodeimpl.h
@@ -56,6 +56,10 @@
     void registerNode();
     void probeStoredTarget();
     void writeOwnRow(std::function<void(bool)> done);
+    /// Writes the current state of this node to its row, and tries again until the store takes it. Writes are sent one after the other.
+    /// @param written called when a row with the present state has been written; may be null.
+    void persistOwnRow(std::function<void()> written);
+    void writeOutdatedRow();
 
     void handleReadinessProbe(const HttpRequest &request, const HttpResponder &respond);
     void handleTargetNotification(const HttpRequest &request, const HttpResponder &respond);
@@ -142,6 +146,9 @@
     bool m_wasShort = false;
     bool m_wasStoreReachable = true;
     bool m_isRegistered = false;
+    bool m_isRowOutdated = false;
+    bool m_isWritingRow = false;
+    std::vector<std::function<void()>> m_rowWaiters;
     bool m_isStopping = false;
     bool m_isStopped = false;
     bool m_hasDrainedTarget = false;
