A target that names a rate limit in its answers gets no more requests than it allows

Cause: the limit was passed on to callers and read by nobody. Change: the platform adapter reads the limit; the node beside the target, through which all its requests come, enforces it. AdmissionController starts requests from a token bucket, keeps a queue of 0.2 s, and reports the concurrency that the rate amounts to as its limit, so that routers, hints and the admission of roots reckon with what the target takes. Peers hold it and tell it to a new process of the node, and the node's row holds it; rows of earlier versions are still read.

--- a/src/coordination/overload/admissioncontroller.cpp
+++ b/src/coordination/overload/admissioncontroller.cpp
@@ -16,6 +16,8 @@
 constexpr double MinTrustedUtilization = 0.25;
 constexpr Duration MinRetryAfter = std::chrono::milliseconds(100);
 constexpr Duration MaxRetryAfter = std::chrono::seconds(5);
+/// How long a request may wait for the rate limit. Other targets of the service may have no limit, so that a longer queue would only cost time.
+constexpr double RateLimitedQueueSeconds = 0.2;
 
 std::size_t poolSize(const AdmissionSettings &settings)
 {
@@ -133,7 +135,7 @@
 
 void AdmissionController::startWaiting(TimePoint now, AdmissionActions &out)
 {
-    while (m_running < limit(now)) {
+    while (m_running < limit(now) && !isHeldByRateLimit(now)) {
         const std::optional<EntryIndex> next = m_queue.popNext();
         if (!next) {
             return;
@@ -143,6 +145,9 @@
             refuse(*next, Reason::DeadlineExpired, now, out);
             continue;
         }
+        if (m_rateLimit) {
+            m_rateLimit->tryTake(now);
+        }
         m_queue.share(m_entries[*next].flow).admitted();
         m_entries[*next].isRunning = true;
         ++m_running;
@@ -172,12 +177,50 @@
 
 std::uint32_t AdmissionController::limit(TimePoint now) const
 {
-    return m_downstream.value(m_limit.value(), now);
+    return std::min(m_downstream.value(m_limit.value(), now), concurrencyAtRateLimit(now));
+}
+
+std::uint32_t AdmissionController::concurrencyAtRateLimit(TimePoint now) const
+{
+    const double serviceTime = std::chrono::duration<double>(m_serviceTimes.expected(now)).count();
+    if (!m_rateLimit || serviceTime <= 0) {
+        return m_limit.value();
+    }
+    return static_cast<std::uint32_t>(std::clamp(std::ceil(m_rateLimit->ratePerSecond() * serviceTime), 1.0, static_cast<double>(m_limit.value())));
+}
+
+bool AdmissionController::isHeldByRateLimit(TimePoint now) const
+{
+    return m_rateLimit && m_rateLimit->nextTokenAt(now) > now;
+}
+
+void AdmissionController::setRateLimit(std::optional<double> ratePerSecond, TimePoint now, AdmissionActions &out)
+{
+    if (!ratePerSecond) {
+        m_rateLimit.reset();
+    } else if (!std::isfinite(*ratePerSecond) || *ratePerSecond < 0) {
+        throw ValueError("admission: field rate limit: " + std::to_string(*ratePerSecond) + " found, a number of at least 0 expected");
+    } else if (m_rateLimit) {
+        m_rateLimit->setRate(std::max(*ratePerSecond, MinRateLimit), now);
+    } else {
+        m_rateLimit.emplace(std::max(*ratePerSecond, MinRateLimit), now);
+    }
+    startWaiting(now, out);
+    shedExcess(now, out);
+}
+
+std::optional<TimePoint> AdmissionController::nextStartAt(TimePoint now) const
+{
+    const bool isWaiting = m_queue.size() > 0 && m_running < limit(now) && isHeldByRateLimit(now);
+    return isWaiting ? std::optional(m_rateLimit->nextTokenAt(now)) : std::nullopt;
 }
 
 std::size_t AdmissionController::queueLimit(TimePoint now) const
 {
     const std::uint32_t allowed = limit(now);
+    if (m_rateLimit) {
+        return static_cast<std::size_t>(std::clamp<double>(m_rateLimit->ratePerSecond() * RateLimitedQueueSeconds, 1, m_settings.maxQueueLength));
+    }
     const double perSlot = allowed < m_limit.value() ? m_settings.queuePerWindowSlot : m_settings.queuePerSlot;
     const double wanted = std::ceil(allowed * perSlot);
     return static_cast<std::size_t>(std::clamp<double>(wanted, m_settings.minQueueLength, m_settings.maxQueueLength));
@@ -199,7 +242,7 @@
 {
     AdmissionHint found = hint(now);
     // With a free slot and an empty queue every request is admitted, regardless of recent refusals.
-    const bool hasFreeSlot = m_queue.size() == 0 && m_running < limit(now);
+    const bool hasFreeSlot = m_queue.size() == 0 && m_running < limit(now) && !isHeldByRateLimit(now);
     const std::optional<FlowIndex> flow = m_queue.findFlow(organisation, priority);
     if (flow && !m_isDraining && !hasFreeSlot) {
         found.admittedLevel = priority;
--- a/src/coordination/overload/admissioncontroller.h
+++ b/src/coordination/overload/admissioncontroller.h
@@ -14,6 +14,7 @@
 #include "coordination/overload/fairqueue.h"
 #include "coordination/overload/servicetimes.h"
 #include "coordination/overload/ticketindex.h"
+#include "coordination/overload/tokenbucket.h"
 #include "protocol/callmessages.h"
 #include "state/callcontext.h"
 #include "state/identifier.h"
@@ -23,6 +24,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace banyankeel
@@ -90,6 +92,14 @@
     /// Refuses requests that were queued for too long and drops idle state. To be called at least every 100 ms.
     void tick(TimePoint now, AdmissionActions &out);
 
+    /// Sets how many requests may start in a second; absent for no limit. Lower limits than MinRateLimit are raised to it, so that it is noticed when the
+    /// target accepts more again.
+    /// @throws ValueError if the limit is negative or not finite.
+    void setRateLimit(std::optional<double> ratePerSecond, TimePoint now, AdmissionActions &out);
+    /// When the next queued request may start under the rate limit; tick() is to be called then. Absent if no request waits for the rate limit.
+    [[nodiscard]] std::optional<TimePoint> nextStartAt(TimePoint now) const;
+    static constexpr double MinRateLimit = 0.5;
+
     /// The load of the target over all organisations.
     [[nodiscard]] AdmissionHint hint(TimePoint now) const;
     /// The load as seen by one organisation's requests of one priority; sent with the answers to these requests.
@@ -138,12 +148,16 @@
     [[nodiscard]] bool wouldMissDeadline(TimePoint deadline, RequestKind kind, TimePoint now) const;
     void recordServiceTime(RequestKind kind, const Completion &completion, TimePoint now);
     [[nodiscard]] std::size_t queueLimit(TimePoint now) const;
+    [[nodiscard]] bool isHeldByRateLimit(TimePoint now) const;
+    /// The number of requests that run at once if they start at the rate limit.
+    [[nodiscard]] std::uint32_t concurrencyAtRateLimit(TimePoint now) const;
     [[nodiscard]] Duration retryAfter(TimePoint now) const;
 
     AdmissionSettings m_settings;
     ConcurrencyLimit m_limit;
     ServiceTimes m_serviceTimes;
     DownstreamWindow m_downstream;
+    std::optional<TokenBucket> m_rateLimit;
     FairQueue m_queue;
     TicketIndex m_tickets;
     std::vector<Entry> m_entries;
--- a/src/coordination/overload/test/admissioncontroller_test.cpp
+++ b/src/coordination/overload/test/admissioncontroller_test.cpp
@@ -355,4 +355,65 @@
     });
 }
 
+BOOST_AUTO_TEST_CASE(NoMoreRequestsStartThanTheRateLimitAllows)
+{
+    constexpr double Rate = 20;
+    constexpr int Milliseconds = 4'000;
+    AdmissionFixture fixture(smallTarget(100));
+    AdmissionActions out;
+    fixture.admission.setRateLimit(Rate, fixture.now, out);
+    std::size_t started = 0;
+    for (int ms = 0; ms < Milliseconds; ++ms) {
+        fixture.now += Millisecond;
+        fixture.offer("carrier");
+        AdmissionActions due;
+        if (const std::optional<TimePoint> next = fixture.admission.nextStartAt(fixture.now); next && *next <= fixture.now + Millisecond) {
+            fixture.now = std::max(fixture.now, *next);
+            fixture.admission.tick(fixture.now, due);
+            fixture.apply(due);
+        }
+        for (const std::uint64_t it : std::set<std::uint64_t>(fixture.running)) {
+            ++started;
+            fixture.complete(it);
+        }
+    }
+    const double seconds = Milliseconds / 1000.0;
+    BOOST_CHECK_LE(static_cast<double>(started), Rate * seconds + std::max(1.0, Rate * std::chrono::duration<double>(TokenBucket::BurstTime).count()) + 1);
+    BOOST_CHECK_GE(static_cast<double>(started), 0.9 * Rate * seconds);
+    BOOST_CHECK(!fixture.refused.empty());
+}
+
+BOOST_AUTO_TEST_CASE(ARateLimitLowersTheConcurrencyThatIsReported)
+{
+    constexpr std::uint32_t Slots = 100;
+    AdmissionFixture fixture(smallTarget(Slots));
+    for (int n = 0; n < 50; ++n) {
+        const std::uint64_t ticket = fixture.offer("carrier");
+        fixture.now += 10 * Millisecond;
+        fixture.complete(ticket, 200 * Millisecond);
+    }
+    BOOST_CHECK_EQUAL(fixture.admission.limit(fixture.now), Slots);
+    AdmissionActions out;
+    fixture.admission.setRateLimit(20, fixture.now, out);
+    BOOST_CHECK_EQUAL(fixture.admission.limit(fixture.now), 4);
+    fixture.admission.setRateLimit(std::nullopt, fixture.now, out);
+    BOOST_CHECK_EQUAL(fixture.admission.limit(fixture.now), Slots);
+}
+
+BOOST_AUTO_TEST_CASE(ARateLimitOfZeroLetsARequestThroughNowAndThen)
+{
+    AdmissionFixture fixture(smallTarget(10));
+    AdmissionActions out;
+    fixture.admission.setRateLimit(0, fixture.now, out);
+    fixture.complete(fixture.offer("carrier"));
+    BOOST_CHECK(fixture.running.empty());
+    const std::uint64_t second = fixture.offer("carrier");
+    BOOST_CHECK(!fixture.running.contains(second));
+    fixture.now += std::chrono::seconds(2);
+    AdmissionActions due;
+    fixture.admission.tick(fixture.now, due);
+    fixture.apply(due);
+    BOOST_CHECK(fixture.running.contains(second));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/coordination/targetlife/targetlifecycle.cpp
+++ b/src/coordination/targetlife/targetlifecycle.cpp
@@ -1,6 +1,6 @@
 #include "coordination/targetlife/targetlifecycle.h"
 
-#include "protocol/departurecodec.h"
+#include "protocol/targetcodec.h"
 
 #include <algorithm>
 
--- a/src/mesh/meshnode.cpp
+++ b/src/mesh/meshnode.cpp
@@ -78,6 +78,8 @@
                     [this](const std::string &requestId, const CallAnswer &answer, Duration waited, Duration ran) {
                         recordAttemptEnd(requestId, answer, waited, ran);
                     },
+                .readNotice = m_adapter.readTargetNotice,
+                .noticed = [this](const TargetBoot &boot, const TargetNotice &notice) { handleTargetNotice(boot, notice); },
                 .runBegan = [this](RequestKind kind) { m_meter.runBegan(kind, bootTime()); },
                 .runEnded = [this](RequestKind kind, Duration time, bool hasResponse) { m_meter.runEnded(kind, time, hasResponse, bootTime()); }})
     , m_entry({.service = settings.service,
--- a/src/mesh/meshnode_fleet.cpp
+++ b/src/mesh/meshnode_fleet.cpp
@@ -1,6 +1,6 @@
 #include "mesh/meshnodeimpl.h"
 
-#include "protocol/departurecodec.h"
+#include "protocol/targetcodec.h"
 #include "state/errors.h"
 
 #include <asio/io_context.hpp>
@@ -84,6 +84,9 @@
                 departures = host.departures;
                 if (isFirst) {
                     m_storedTarget = host.target;
+                    if (host.target && host.target->ratePerSecond) {
+                        restoreRateLimit({host.target->boot, host.target->ratePerSecond});
+                    }
                 }
             } else {
                 m_peers.addFromRoster(host.peer, now);
@@ -151,7 +154,11 @@
 void MeshNode::Impl::writeOwnRow(std::function<void(bool)> done)
 {
     const TargetReport *serving = m_life.serving();
-    const HostRow row{*m_self, serving == nullptr ? std::nullopt : std::optional(StoredTarget{serving->boot, serving->slots}), m_life.departures()};
+    std::optional<StoredTarget> target;
+    if (serving != nullptr) {
+        target = StoredTarget{serving->boot, serving->slots, m_rateLimits.limitOf(serving->boot)};
+    }
+    const HostRow row{*m_self, std::move(target), m_life.departures()};
     m_store.send(WriteRows{{{row.key(), RowAction::Put, std::nullopt, row.encode()}}}, [done = std::move(done)](const StoreReply &reply) {
         const bool isWritten = std::holds_alternative<RowsWritten>(reply);
         if (!isWritten) {
@@ -245,6 +252,9 @@
         m_admission.noteReport(from.node, *report.load, now);
     }
     m_rateLimiter.applyReport(from.node, {report.uses, report.isComplete, isNewProcess}, now);
+    if (report.receiverRateLimit) {
+        restoreRateLimit(*report.receiverRateLimit);
+    }
     applyTargetChange(m_life.mergeLeavings(report.receiverDepartures));
     m_fetcher.recordVersion(from.node, m_peers.distanceTo(from.place), report.configuration);
     fetchConfiguration();
@@ -326,6 +336,8 @@
         .isStopping = m_isStopping,
         .load = m_load,
         .isStoreReachable = m_feed.isStoreReachable(),
+        .rateLimit = m_rateLimits.last(),
+        .receiverRateLimit = to.rateLimit,
     };
     m_network->send(to.peer.endpoint, report.encode());
 }
--- a/src/mesh/meshnode_target.cpp
+++ b/src/mesh/meshnode_target.cpp
@@ -105,7 +105,7 @@
               {"name", m_life.current() == nullptr ? "unknown" : m_life.current()->boot.name},
               {"serving", serving == nullptr ? "no" : "yes"}});
     if (serving != nullptr) {
-        m_target.serve(*serving);
+        m_target.serve(*serving, m_rateLimits.limitOf(serving->boot));
         persistOwnRow(nullptr);
         publishTargetRecord(serving->warmUpRemaining > Duration::zero() ? TargetState::Starting : TargetState::Serving);
     } else {
@@ -115,6 +115,37 @@
     }
 }
 
+void MeshNode::Impl::handleTargetNotice(const TargetBoot &boot, const TargetNotice &notice)
+{
+    // Reports to peers are sent before the answer that contained the notice, so that its entry node has the report first.
+    if (m_rateLimits.recordAnswer(boot, notice.ratePerSecond, bootTime())) {
+        logRateLimit(*m_rateLimits.last(), "answer");
+        m_target.setRateLimit(m_rateLimits.limitOf(boot));
+        sendCompleteReports(false);
+        persistOwnRow(nullptr);
+    }
+}
+
+void MeshNode::Impl::restoreRateLimit(const TargetRateLimit &limit)
+{
+    if (!m_rateLimits.restore(limit, bootTime())) {
+        return;
+    }
+    logRateLimit(limit, "earlier-process");
+    if (const TargetReport *current = m_life.current()) {
+        m_target.setRateLimit(m_rateLimits.limitOf(current->boot));
+    }
+}
+
+void MeshNode::Impl::logRateLimit(const TargetRateLimit &limit, std::string_view source) const
+{
+    logEvent(LogLevel::Info,
+             "target-rate-limit",
+             {{"name", limit.boot.name},
+              {"per-second", limit.ratePerSecond ? fmt::format("{:.1f}", *limit.ratePerSecond) : "none"},
+              {"source", std::string(source)}});
+}
+
 void MeshNode::Impl::publishTargetRecord(TargetState state)
 {
     if (!m_self || m_life.current() == nullptr) {
--- a/src/mesh/meshnodeimpl.h
+++ b/src/mesh/meshnodeimpl.h
@@ -7,6 +7,7 @@
 #include "coordination/demand/rootadmission.h"
 #include "coordination/feed/configurationfeed.h"
 #include "coordination/feed/configurationfetcher.h"
+#include "coordination/targetlife/ratelimittracker.h"
 #include "coordination/targetlife/targetlifecycle.h"
 #include "edge/edgeserver.h"
 #include "mesh/logratelimiter.h"
@@ -67,6 +68,9 @@
     void applyTargetChange(TargetChange change);
     void publishTargetRecord(TargetState state);
     void acknowledgeDeparture(const HttpResponder &respond);
+    void handleTargetNotice(const TargetBoot &boot, const TargetNotice &notice);
+    void restoreRateLimit(const TargetRateLimit &limit);
+    void logRateLimit(const TargetRateLimit &limit, std::string_view source) const;
 
     void handleMessage(const Peer &from, const Envelope &envelope);
     void handleNodeReport(const Peer &from, const NodeReport &report);
@@ -113,6 +117,7 @@
     std::optional<Peer> m_self;
     MeshPeers m_peers;
     TargetLifecycle m_life;
+    RateLimitTracker m_rateLimits;
     std::optional<TargetRecord> m_record;
     std::uint64_t m_recordVersion = 0;
     /// The target that the previous process of this node served, until it is probed.
--- a/src/mesh/meshpeers.cpp
+++ b/src/mesh/meshpeers.cpp
@@ -33,7 +33,10 @@
     known.lastReportAt = now;
     known.isStopping = report.isStopping;
     known.isStoreReachable = report.isStoreReachable;
-    // A process that has just started may not have read its own row yet, so departures missing from its report are kept.
+    // A process that has just started may not have read its own row yet, so what is missing from its report is kept.
+    if (report.rateLimit) {
+        known.rateLimit = report.rateLimit->ratePerSecond ? report.rateLimit : std::nullopt;
+    }
     for (const TargetDeparture &it : report.departures) {
         std::erase_if(known.departures, [&it](const TargetDeparture &old) { return old.name == it.name && old.startedUntil < it.startedUntil; });
         if (std::ranges::find(known.departures, it.name, &TargetDeparture::name) == known.departures.end()) {
--- a/src/mesh/meshpeers.h
+++ b/src/mesh/meshpeers.h
@@ -31,6 +31,8 @@
     bool isStoreReachable = true;
     /// Departures of its target.
     std::vector<TargetDeparture> departures;
+    /// The limit that its target has named; absent if none is known or it has been lifted.
+    std::optional<TargetRateLimit> rateLimit = std::nullopt;
 };
 
 /// Not thread-safe. Operations other than lookups by node take time linear in the number of peers.
--- a/src/mesh/meshtarget.cpp
+++ b/src/mesh/meshtarget.cpp
@@ -51,12 +51,13 @@
     , m_headers(std::move(headers))
     , m_hooks(std::move(hooks))
     , m_pool(context, {.server = m_settings.target, .maxConnections = m_settings.connections, .response = {}})
+    , m_startTimer(context)
 {
 }
 
 MeshTarget::~MeshTarget() = default;
 
-void MeshTarget::serve(const TargetReport &report)
+void MeshTarget::serve(const TargetReport &report, std::optional<double> ratePerSecond)
 {
     if (m_boot != report.boot) {
         stopServing();
@@ -72,6 +73,33 @@
         m_unreachableUntil = {};
     }
     m_isServing = true;
+    setRateLimit(ratePerSecond);
+}
+
+void MeshTarget::setRateLimit(std::optional<double> ratePerSecond)
+{
+    if (m_admission) {
+        AdmissionActions actions;
+        m_admission->setRateLimit(ratePerSecond, m_hooks.now(), actions);
+        apply(actions);
+    }
+}
+
+void MeshTarget::scheduleNextStart()
+{
+    const TimePoint now = m_hooks.now();
+    const std::optional<TimePoint> next = m_admission ? m_admission->nextStartAt(now) : std::nullopt;
+    if (!next || (m_nextStartAt && *m_nextStartAt <= *next)) {
+        return;
+    }
+    m_nextStartAt = next;
+    m_startTimer.expires_after(*next - now);
+    m_startTimer.async_wait([this](const std::error_code &ec) {
+        if (!ec) {
+            m_nextStartAt.reset();
+            expireQueued();
+        }
+    });
 }
 
 void MeshTarget::stopServing()
@@ -144,6 +172,7 @@
     for (const AttemptTicket it : actions.run) {
         run(it);
     }
+    scheduleNextStart();
 }
 
 void MeshTarget::run(AttemptTicket ticket)
@@ -186,7 +215,13 @@
     if (isUnreachable) {
         m_unreachableUntil = now + UnreachableBackoff;
     }
+    const TargetNotice notice = result.response ? m_hooks.readNotice(*result.response) : TargetNotice{};
+    const bool hasResponse = result.response.has_value();
     CallOutcome outcome = classifyResult(m_headers, std::move(result));
+    if (hasResponse) {
+        // Before other requests are started in place of this one.
+        passOnNotice(notice, outcome.verdict);
+    }
     const Completion completion{now - found->second.started, classifyCompletion(outcome)};
     endRun(found->second, now, outcome.response.has_value());
     AdmissionActions actions;
@@ -195,6 +230,15 @@
     apply(actions);
 }
 
+void MeshTarget::passOnNotice(const TargetNotice &notice, const Verdict &verdict)
+{
+    // Without a signature the response may come from elsewhere, and a target with another name says nothing about this one.
+    const bool isOwn = verdict.runState() == RunState::Ran || (verdict.runState() == RunState::NotRun && verdict.reason() == Reason::TargetFailed);
+    if (isOwn) {
+        m_hooks.noticed(*m_boot, notice);
+    }
+}
+
 void MeshTarget::beginRun(Attempt &attempt, TimePoint now)
 {
     attempt.started = now;
--- a/src/mesh/meshtarget.h
+++ b/src/mesh/meshtarget.h
@@ -15,10 +15,13 @@
 #include "state/targetreport.h"
 #include "state/time.h"
 
+#include <asio/steady_timer.hpp>
+
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -37,6 +40,10 @@
     std::function<TimePoint()> now;
     /// Called when an attempt ends at this node, for logs and metrics.
     std::function<void(const std::string &requestId, const CallAnswer &answer, Duration waited, Duration ran)> ended;
+    /// What the target says about itself in a response.
+    std::function<TargetNotice(const HttpResponse &response)> readNotice;
+    /// Called with the notice of each response of @p boot that is certainly its own, before the response is passed on.
+    std::function<void(const TargetBoot &boot, const TargetNotice &notice)> noticed;
     /// Called when a request starts and stops running on the target. @param hasResponse whether the target answered.
     std::function<void(RequestKind kind)> runBegan;
     std::function<void(RequestKind kind, Duration time, bool hasResponse)> runEnded;
@@ -54,7 +61,10 @@
     MeshTarget &operator=(const MeshTarget &) = delete;
 
     /// Serves the boot of the target that sent @p report. If the boot changed, requests running on the previous one are ended.
-    void serve(const TargetReport &report);
+    /// @param ratePerSecond limits how many requests start; absent for no limit.
+    void serve(const TargetReport &report, std::optional<double> ratePerSecond);
+    /// Changes the limit of the boot that is served.
+    void setRateLimit(std::optional<double> ratePerSecond);
     /// Stops admitting requests: queued requests are refused, running ones continue.
     void stopServing();
 
@@ -122,6 +132,9 @@
     void endRun(const Attempt &attempt, TimePoint now, bool hasResponse);
     void sendAnswer(Attempt &attempt, const Verdict &verdict, std::optional<HttpResponse> response);
     void cancel(AttemptTicket ticket);
+    /// Passes on what the target says about itself in the response that led to @p outcome.
+    void passOnNotice(const TargetNotice &notice, const Verdict &verdict);
+    void scheduleNextStart();
     [[nodiscard]] std::optional<Verdict> refusalBeforeAdmission(TimePoint now) const;
     [[nodiscard]] AdmissionHint hintFor(const CallRequest &request, TimePoint now) const;
 
@@ -130,6 +143,8 @@
     MeshTargetHooks m_hooks;
     HttpConnectionPool m_pool;
     std::unique_ptr<AdmissionController> m_admission;
+    asio::steady_timer m_startTimer;
+    std::optional<TimePoint> m_nextStartAt;
     std::optional<TargetBoot> m_boot;
     bool m_isServing = false;
     /// Requests are refused until then after a failed connection, because the target has crashed or is starting.
--- a/src/mesh/platformadapter.h
+++ b/src/mesh/platformadapter.h
@@ -42,6 +42,8 @@
     std::function<TargetNotification(const HttpRequest &request)> decodeTargetNotification;
     /// The response to a heartbeat.
     HttpResponse reportResponse;
+    /// What a target says about itself in a response to a request.
+    std::function<TargetNotice(const HttpResponse &response)> readTargetNotice;
     /// @throws Error naming the object and the field.
     std::function<MeshConfigurationPointer(const std::string &document)> decodeConfiguration;
     /// The row that holds the current configuration.
--- a/src/mesh/test/meshfleet.cpp
+++ b/src/mesh/test/meshfleet.cpp
@@ -226,6 +226,14 @@
             return TargetReport{{name, WallTime(1s)}, settings.service, settings.target, Slots, request.method == "POST", sequence, Duration::zero()};
         },
         .reportResponse = {.status = 200, .headers = {}, .body = {}},
+        .readTargetNotice =
+            [](const HttpResponse &response) {
+                TargetNotice notice;
+                if (const auto limit = findHeader(response.headers, "Rate-Limit")) {
+                    notice.ratePerSecond = std::stod(std::string(*limit));
+                }
+                return notice;
+            },
         .decodeConfiguration = [this](const std::string &document) -> MeshConfigurationPointer {
             const auto found = m_documents.find(document);
             if (found == m_documents.end()) {
--- a/src/protocol/hostrow.cpp
+++ b/src/protocol/hostrow.cpp
@@ -1,7 +1,7 @@
 #include "protocol/hostrow.h"
 
-#include "protocol/departurecodec.h"
 #include "protocol/statecodec.h"
+#include "protocol/targetcodec.h"
 #include "protocol/wirereader.h"
 #include "protocol/wirewriter.h"
 
@@ -18,12 +18,7 @@
         writer.absent();
         return;
     }
-    writer.text(target->boot.name);
-    if (target->boot.startedAt) {
-        writer.number(static_cast<std::uint64_t>(target->boot.startedAt->time_since_epoch().count()));
-    } else {
-        writer.absent();
-    }
+    writeBoot(writer, target->boot);
     writer.compactNumber(target->slots);
 }
 
@@ -32,12 +27,9 @@
     if (reader.absent()) {
         return std::nullopt;
     }
-    StoredTarget target{{reader.text("target name"), std::nullopt}, 0};
-    if (!reader.absent()) {
-        target.boot.startedAt = WallTime(std::chrono::microseconds(static_cast<std::int64_t>(reader.number("started at"))));
-    }
-    target.slots = static_cast<std::uint32_t>(reader.number("slots", std::numeric_limits<std::uint32_t>::max()));
-    return target;
+    TargetBoot boot = readBoot(reader);
+    const auto slots = static_cast<std::uint32_t>(reader.number("slots", std::numeric_limits<std::uint32_t>::max()));
+    return StoredTarget{std::move(boot), slots};
 }
 } // namespace
 
@@ -47,6 +39,7 @@
     writePeer(writer, peer);
     writeTarget(writer, target);
     writeDepartures(writer, departures);
+    writeRate(writer, target ? target->ratePerSecond : std::nullopt);
     return writer.take();
 }
 
@@ -56,6 +49,11 @@
     Peer peer = readPeer(reader);
     std::optional<StoredTarget> target = readTarget(reader);
     std::vector<TargetDeparture> departures = readDepartures(reader);
+    // Rows of earlier versions end here.
+    const std::optional<double> ratePerSecond = reader.isAtEnd() ? std::nullopt : readRate(reader);
+    if (target) {
+        target->ratePerSecond = ratePerSecond;
+    }
     reader.finish();
     return {std::move(peer), std::move(target), std::move(departures)};
 }
--- a/src/protocol/hostrow.h
+++ b/src/protocol/hostrow.h
@@ -23,6 +23,8 @@
 struct StoredTarget {
     TargetBoot boot;
     std::uint32_t slots;
+    /// The limit that the target has named; absent for no limit.
+    std::optional<double> ratePerSecond = std::nullopt;
 
     friend auto operator<=>(const StoredTarget &, const StoredTarget &) = default;
 };
--- a/src/protocol/nodereport.cpp
+++ b/src/protocol/nodereport.cpp
@@ -1,7 +1,7 @@
 #include "protocol/nodereport.h"
 
-#include "protocol/departurecodec.h"
 #include "protocol/statecodec.h"
+#include "protocol/targetcodec.h"
 #include "protocol/wirereader.h"
 #include "protocol/wirewriter.h"
 #include "state/errors.h"
@@ -20,6 +20,25 @@
 // Resolution of rates on the wire, in steps per request per second.
 constexpr double RateStepsPerUnit = 64;
 
+void writeRateLimit(WireWriter &writer, const std::optional<TargetRateLimit> &limit)
+{
+    writer.flag(limit.has_value());
+    if (limit) {
+        writeBoot(writer, limit->boot);
+        writeRate(writer, limit->ratePerSecond);
+    }
+}
+
+std::optional<TargetRateLimit> readRateLimit(WireReader &reader)
+{
+    if (!reader.flag("rate limit known")) {
+        return std::nullopt;
+    }
+    TargetBoot boot = readBoot(reader);
+    const std::optional<double> rate = readRate(reader);
+    return TargetRateLimit{std::move(boot), rate};
+}
+
 void requireType(const Envelope &envelope, MessageType type, const char *message)
 {
     if (envelope.type != type) {
@@ -52,28 +71,6 @@
 }
 } // namespace
 
-void writeDepartures(WireWriter &writer, const std::vector<TargetDeparture> &departures)
-{
-    writer.count(departures.size());
-    for (const TargetDeparture &it : departures) {
-        writer.text(it.name);
-        writer.number(static_cast<std::uint64_t>(it.startedUntil.time_since_epoch().count()));
-    }
-}
-
-std::vector<TargetDeparture> readDepartures(WireReader &reader)
-{
-    const std::size_t n = reader.count("leavings", MaxDepartures);
-    std::vector<TargetDeparture> departures;
-    departures.reserve(n);
-    for (std::size_t i = 0; i < n; ++i) {
-        std::string name = reader.text("target name");
-        const auto micros = static_cast<std::int64_t>(reader.number("started until"));
-        departures.push_back({std::move(name), WallTime(std::chrono::microseconds(micros))});
-    }
-    return departures;
-}
-
 Envelope NodeReport::encode() const
 {
     WireWriter writer;
@@ -95,6 +92,8 @@
         writer.absent();
     }
     writer.flag(isStoreReachable);
+    writeRateLimit(writer, rateLimit);
+    writeRateLimit(writer, receiverRateLimit);
     return {MessageType::NodeReport, writer.take()};
 }
 
@@ -118,6 +117,8 @@
         load = readLoadReport(reader);
     }
     const bool isStoreReachable = reader.flag("store reachable");
+    std::optional<TargetRateLimit> rateLimit = readRateLimit(reader);
+    std::optional<TargetRateLimit> receiverRateLimit = readRateLimit(reader);
     reader.finish();
     return {
         asksReply,
@@ -130,6 +131,8 @@
         isStopping,
         std::move(load),
         isStoreReachable,
+        std::move(rateLimit),
+        std::move(receiverRateLimit),
     };
 }
 
--- a/src/protocol/nodereport.h
+++ b/src/protocol/nodereport.h
@@ -60,6 +60,10 @@
     std::optional<LoadReport> load = std::nullopt;
     /// Whether the sender can follow the configuration in the store.
     bool isStoreReachable = true;
+    /// The rate limit of the sender's target, or that it has been lifted. Absent if the sender does not know of any.
+    std::optional<TargetRateLimit> rateLimit = std::nullopt;
+    /// The last rate limit of the receiver's target that the sender knows of.
+    std::optional<TargetRateLimit> receiverRateLimit = std::nullopt;
 
     [[nodiscard]] Envelope encode() const;
     /// @throws ProtocolError, IdentifierError, ValueError on malformed payloads.
--- a/src/protocol/wirereader.h
+++ b/src/protocol/wirereader.h
@@ -39,6 +39,11 @@
     /// If the next value is nil, consumes it and returns true; otherwise returns false.
     bool absent();
 
+    /// Whether all values have been read.
+    [[nodiscard]] bool isAtEnd() const
+    {
+        return m_offset == m_payload.size();
+    }
     /// @throws ProtocolError if bytes remain.
     void finish() const;
 
--- a/src/state/targetreport.h
+++ b/src/state/targetreport.h
@@ -23,6 +23,23 @@
     friend auto operator<=>(const TargetBoot &, const TargetBoot &) = default;
 };
 
+/// What a target has said about the number of requests that it accepts from all nodes together.
+struct TargetRateLimit {
+    TargetBoot boot;
+    /// Requests per second; absent if the boot has lifted its limit.
+    std::optional<double> ratePerSecond;
+
+    friend auto operator<=>(const TargetRateLimit &, const TargetRateLimit &) = default;
+};
+
+/// What a target says about itself in its answers to requests.
+struct TargetNotice {
+    /// The number of requests per second that it accepts from all nodes together; absent if it names none.
+    std::optional<double> ratePerSecond;
+
+    friend auto operator<=>(const TargetNotice &, const TargetNotice &) = default;
+};
+
 /// A heartbeat of a target.
 struct TargetReport {
     TargetBoot boot;
