A target that says in its answers that it leaves gets no further requests

What callers saw: requests went on to reach a target that had said in each of its answers that it leaves, until its heartbeat or its end. Cause: the header was passed on to callers and read by nobody. Change: the platform adapter reads it, and the node beside the target handles it as a departure: it stops admitting, reports to all peers before it passes the answer on, over the same connections, and writes its row until the store has taken it, so that the departure outlives the process.

--- a/src/mesh/meshnode_target.cpp
+++ b/src/mesh/meshnode_target.cpp
@@ -118,6 +118,9 @@
 void MeshNode::Impl::handleTargetNotice(const TargetBoot &boot, const TargetNotice &notice)
 {
     // Reports to peers are sent before the answer that contained the notice, so that its entry node has the report first.
+    if (notice.isLeaving) {
+        applyTargetChange(m_life.handleLeaving(boot.name, boot.startedAt, wallNow()));
+    }
     if (m_rateLimits.recordAnswer(boot, notice.ratePerSecond, bootTime())) {
         logRateLimit(*m_rateLimits.last(), "answer");
         m_target.setRateLimit(m_rateLimits.limitOf(boot));
--- a/src/mesh/test/meshfleet.cpp
+++ b/src/mesh/test/meshfleet.cpp
@@ -232,6 +232,7 @@
                 if (const auto limit = findHeader(response.headers, "Rate-Limit")) {
                     notice.ratePerSecond = std::stod(std::string(*limit));
                 }
+                notice.isLeaving = findHeader(response.headers, "Leaving").has_value();
                 return notice;
             },
         .decodeConfiguration = [this](const std::string &document) -> MeshConfigurationPointer {
--- a/src/state/targetreport.h
+++ b/src/state/targetreport.h
@@ -36,6 +36,8 @@
 struct TargetNotice {
     /// The number of requests per second that it accepts from all nodes together; absent if it names none.
     std::optional<double> ratePerSecond;
+    /// It shuts down and is to receive no further requests.
+    bool isLeaving = false;
 
     friend auto operator<=>(const TargetNotice &, const TargetNotice &) = default;
 };
