A refusal that a target writes twice does not answer another request

What callers would have seen: 503 for a request that its target was running, or such a request run by a second target. Cause: a repeat keeps the request's id and may go to the target that refused it, over the connection that carried the refusal. Written once more, the refusal answers the repeat. A refusal without an id was taken for the answer to whatever request its connection carried next. Change: calls with the same repeat id do not share a connection (PoolCall::repeatId); a response that names no request fails the call, as one that may have run, unless it is the first on its connection (PoolCall::isAmbiguous). Tests, which failed before: ARefusalWrittenTwiceDoesNotAnswerTheRepeatedCall (the repeat went over the same connection), AResponseThatNamesNoCallIsNotTrustedOnAKeptConnection (421 delivered).

--- a/src/edge/httpconnectionpool.cpp
+++ b/src/edge/httpconnectionpool.cpp
@@ -65,7 +65,7 @@
     {
         const auto id = static_cast<PoolCallId>(++m_lastCallId);
         ++m_counts.calls;
-        const ConnectionPointer connection = takeConnection(call.isRepeatable);
+        const ConnectionPointer connection = takeConnection(call);
         if (!connection) {
             asio::post(m_context, [handler = std::move(handler)] {
                 handler({std::nullopt, RunState::NotRun, Reason::ConnectionLost, "connection limit of the pool reached"});
@@ -93,9 +93,7 @@
 
     void closeIdle()
     {
-        for (const ConnectionPointer &it : std::exchange(m_idleConnections, {})) {
-            it->close();
-        }
+        closeIdle(m_idleConnections.size());
     }
 
     void reset()
@@ -139,21 +137,35 @@
         TimePoint latestDeadline;
     };
 
-    ConnectionPointer takeConnection(bool isRepeatable)
+    /// Closes the @p count connections that have been idle the longest.
+    void closeIdle(std::size_t count)
+    {
+        const auto end = m_idleConnections.begin() + static_cast<std::ptrdiff_t>(count);
+        const std::vector<ConnectionPointer> closed(m_idleConnections.begin(), end);
+        m_idleConnections.erase(m_idleConnections.begin(), end);
+        for (const ConnectionPointer &it : closed) {
+            it->close();
+        }
+    }
+
+    ConnectionPointer takeConnection(const PoolCall &call)
     {
         const TimePoint now = steadyNow();
-        while (!m_idleConnections.empty()) {
-            ConnectionPointer connection = m_idleConnections.back();
+        for (std::size_t n = m_idleConnections.size(); n > 0; --n) {
+            const ConnectionPointer connection = m_idleConnections[n - 1];
             const Duration idle = now - connection->idleSince();
-            if (idle <= connection->idleTimeout() && (isRepeatable || idle <= m_settings.nonRepeatableIdleTimeout)) {
-                m_idleConnections.pop_back();
-                return connection;
+            if (idle > connection->idleTimeout()) {
+                // The list is in order of last use, so all connections before this one have been idle even longer.
+                closeIdle(n);
+                break;
             }
-            if (idle <= connection->idleTimeout()) {
+            if (!call.isRepeatable && idle > m_settings.nonRepeatableIdleTimeout) {
                 break;
             }
-            // The list is in order of last use, so all other connections have been idle even longer.
-            closeIdle();
+            if (!connection->hasCarried(call.repeatId)) {
+                m_idleConnections.erase(m_idleConnections.begin() + static_cast<std::ptrdiff_t>(n - 1));
+                return connection;
+            }
         }
         if (m_connections.size() >= m_settings.maxConnections) {
             return nullptr;
--- a/src/edge/httpconnectionpool.h
+++ b/src/edge/httpconnectionpool.h
@@ -46,6 +46,11 @@
     /// Whether @p response belongs to this call. Responses that don't are skipped: if a server sends a response twice, the second one arrives where
     /// the response to the next call is expected. If unset, the first response is accepted.
     std::function<bool(const HttpResponse &response)> isAnswer = nullptr;
+    /// Whether a response that isAnswer accepts may as well belong to an earlier call. On a connection that has carried other calls, such a response fails
+    /// the call: it is unknown whether the call ran.
+    std::function<bool(const HttpResponse &response)> isAmbiguous = nullptr;
+    /// Equal in calls whose responses can't be told apart, such as repeats of a request. They are not sent over the same connection. May be empty.
+    std::string repeatId = {};
 };
 
 /// Bounds how long a slow server can extend a call.
--- a/src/edge/pooledconnection.cpp
+++ b/src/edge/pooledconnection.cpp
@@ -8,6 +8,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <utility>
@@ -23,6 +24,8 @@
 constexpr double KeepAliveUseFraction = 0.6;
 
 constexpr int FirstFinalStatus = 200;
+// A response that is written twice follows the first one after a few calls at most.
+constexpr std::size_t MaxRepeatIds = 64;
 
 TimePoint steadyNow()
 {
@@ -93,6 +96,12 @@
 void PooledConnection::startCall()
 {
     m_state = State::Busy;
+    if (!m_call.repeatId.empty()) {
+        m_repeatIds.push_back(std::hash<std::string>{}(m_call.repeatId));
+        if (m_repeatIds.size() > MaxRepeatIds) {
+            m_repeatIds.pop_front();
+        }
+    }
     m_receivedAt.reset();
     m_reader.reset();
     m_isHeadRequest = m_call.request.method == "HEAD";
@@ -104,6 +113,11 @@
     write();
 }
 
+bool PooledConnection::hasCarried(const std::string &repeatId) const
+{
+    return !repeatId.empty() && std::ranges::find(m_repeatIds, std::hash<std::string>{}(repeatId)) != m_repeatIds.end();
+}
+
 void PooledConnection::write()
 {
     while (m_state == State::Busy) {
@@ -234,6 +248,11 @@
         ++m_shared->unmatchedResponses;
         return;
     }
+    if (m_hasCarriedCall && m_call.isAmbiguous && m_call.isAmbiguous(response)) {
+        fail(Reason::TargetFailed, "response that may belong to an earlier request");
+        return;
+    }
+    m_hasCarriedCall = true;
     const bool isRequestSent = m_sentBytes >= m_head.size() + m_call.request.body.size();
     updateIdleTimeout(response);
     const std::shared_ptr<PooledConnection> keep = shared_from_this();
--- a/src/edge/pooledconnection.h
+++ b/src/edge/pooledconnection.h
@@ -7,7 +7,9 @@
 
 #include <asio/ip/tcp.hpp>
 
+#include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -55,6 +57,8 @@
     {
         return m_receivedAt;
     }
+    /// Whether a recent call on this connection had this repeat id.
+    [[nodiscard]] bool hasCarried(const std::string &repeatId) const;
     [[nodiscard]] TimePoint idleSince() const
     {
         return m_idleSince;
@@ -98,6 +102,9 @@
     bool m_isHeadRequest = false;
     TimePoint m_idleSince;
     std::optional<TimePoint> m_receivedAt;
+    bool m_hasCarriedCall = false;
+    /// Hashes of repeat ids, oldest first; bounded.
+    std::deque<std::size_t> m_repeatIds;
 };
 
 } // namespace banyankeel
--- a/src/mesh/meshtarget.cpp
+++ b/src/mesh/meshtarget.cpp
@@ -200,6 +200,8 @@
         .timeLimit = remaining,
         .isRepeatable = !attempt.request.claim.has_value(),
         .isAnswer = [headers = &m_headers, requestId = attempt.requestId](const HttpResponse &response) { return isResponseTo(*headers, requestId, response); },
+        .isAmbiguous = [headers = &m_headers](const HttpResponse &response) { return !findHeader(response.headers, headers->requestId); },
+        .repeatId = attempt.requestId,
     };
     attempt.call = m_pool.send(std::move(call), [this, ticket](HttpResult result) { handleResult(ticket, std::move(result)); });
 }
