A target that answers without end does not hold a node up

What callers would have seen: all requests of a node late while one target sends responses that answer nothing, as fast as they are read. Cause: interim responses and those to other requests were skipped without bound until the time limit, and a connection was read for as long as it filled the buffer, so that neither time limits nor other connections got their turn. Change: at most 16 responses are skipped for a call, then it fails as one that may have run; after 16 full reads the other connections are served. Heads, bodies, chunks and trailers without end were bounded already. Test: BytesWithoutEndEndTheCall, nine kinds of endless bytes; without the change it does not end.

--- a/src/edge/pooledconnection.cpp
+++ b/src/edge/pooledconnection.cpp
@@ -26,6 +26,10 @@
 constexpr int FirstFinalStatus = 200;
 // A response that is written twice follows the first one after a few calls at most.
 constexpr std::size_t MaxRepeatIds = 64;
+// More interim responses and responses to other calls than a server has reason to send before the response to one call.
+constexpr unsigned MaxSkippedResponses = 16;
+// After as many full reads, other connections get their turn.
+constexpr unsigned MaxReadsInARow = 16;
 
 TimePoint steadyNow()
 {
@@ -96,6 +100,7 @@
 void PooledConnection::startCall()
 {
     m_state = State::Busy;
+    m_skippedResponses = 0;
     if (!m_call.repeatId.empty()) {
         m_repeatIds.push_back(std::hash<std::string>{}(m_call.repeatId));
         if (m_repeatIds.size() > MaxRepeatIds) {
@@ -168,7 +173,11 @@
 void PooledConnection::readAvailable()
 {
     const std::shared_ptr<PooledConnection> keep = shared_from_this();
-    while (m_state != State::Closed) {
+    for (unsigned reads = 0; m_state != State::Closed; ++reads) {
+        if (reads == MaxReadsInARow) {
+            waitReadable();
+            return;
+        }
         std::error_code ec;
         const std::size_t n = m_socket.read_some(asio::buffer(m_shared->readBuffer.data(), m_shared->readBuffer.size()), ec);
         if (ec == asio::error::would_block || ec == asio::error::try_again) {
@@ -241,11 +250,11 @@
     if (m_isHeadRequest) {
         m_reader.expectNoBody();
     }
-    if (!isFinal) {
-        return;
-    }
-    if (m_call.isAnswer && !m_call.isAnswer(response)) {
-        ++m_shared->unmatchedResponses;
+    if (!isFinal || (m_call.isAnswer && !m_call.isAnswer(response))) {
+        m_shared->unmatchedResponses += isFinal ? 1 : 0;
+        if (++m_skippedResponses > MaxSkippedResponses) {
+            fail(Reason::BodyIncomplete, "too many responses that do not answer the request");
+        }
         return;
     }
     if (m_hasCarriedCall && m_call.isAmbiguous && m_call.isAmbiguous(response)) {
--- a/src/edge/pooledconnection.h
+++ b/src/edge/pooledconnection.h
@@ -103,6 +103,7 @@
     TimePoint m_idleSince;
     std::optional<TimePoint> m_receivedAt;
     bool m_hasCarriedCall = false;
+    unsigned m_skippedResponses = 0;
     /// Hashes of repeat ids, oldest first; bounded.
     std::deque<std::size_t> m_repeatIds;
 };
--- a/src/edge/test/httpconnectionpool_test.cpp
+++ b/src/edge/test/httpconnectionpool_test.cpp
@@ -279,4 +279,46 @@
     BOOST_CHECK(found.runState == RunState::MayHaveRun);
 }
 
+BOOST_AUTO_TEST_CASE(BytesWithoutEndEndTheCall)
+{
+    const std::vector<std::pair<std::string, std::string>> cases{
+        {"HTTP/1.1 200 OK\r\nId: 1\r\n", "X-Filler: more\r\n"},
+        {"HTTP/1.1 200 OK\r\nId: 1\r\nX-Filler: ", "more"},
+        {"HTTP/1.1 200 OK\r\nId: 1\r\n\r\n", std::string(1'000, 'x')},
+        {"HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n", "5\r\nhello\r\n"},
+        {"HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n5;", "filler"},
+        {"HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X-Filler: more\r\n"},
+        {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+        {"", "HTTP/1.1 200 OK\r\nId: 0\r\nContent-Length: 0\r\n\r\n"},
+        {"", "nonsense"},
+    };
+    for (const auto &[begin, repeated] : cases) {
+        BOOST_TEST_CONTEXT(begin + repeated)
+        {
+            PoolFixture pool;
+            std::future<HttpResult> result = pool.send("1");
+            const std::unique_ptr<RawConnection> server = pool.accept();
+            server->readUntil("\r\n\r\n");
+            const auto flood = std::async(std::launch::async, [&, bytes = begin, part = repeated] {
+                std::string block;
+                while (block.size() < 65'536) {
+                    block += part;
+                }
+                try {
+                    server->write(bytes);
+                    while (true) {
+                        server->write(block);
+                    }
+                } catch (const std::system_error &) {
+                    // The pool has closed the connection.
+                }
+            });
+            const HttpResult found = result.get();
+            BOOST_CHECK(!found.response);
+            BOOST_CHECK(found.runState == RunState::MayHaveRun);
+            BOOST_CHECK(found.reason == Reason::BodyIncomplete);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
