--- a/src/protocol/hostrow.cpp
+++ b/src/protocol/hostrow.cpp
@@ -5,8 +5,6 @@
 #include "protocol/wirereader.h"
 #include "protocol/wirewriter.h"
 
-#include <limits>
-
 namespace banyankeel
 {
 
@@ -28,7 +26,7 @@
         return std::nullopt;
     }
     TargetBoot boot = readBoot(reader);
-    const auto slots = static_cast<std::uint32_t>(reader.number("slots", std::numeric_limits<std::uint32_t>::max()));
+    const auto slots = static_cast<std::uint32_t>(reader.number("slots", MaxTargetSlots));
     return StoredTarget{std::move(boot), slots};
 }
 } // namespace
--- a/src/state/targetreport.h
+++ b/src/state/targetreport.h
@@ -14,6 +14,9 @@
 namespace banyankeel
 {
 
+/// The most concurrent requests that a target may announce. State is allocated for each of them.
+inline constexpr std::uint32_t MaxTargetSlots = 65'536;
+
 /// Identifies one start of a target. A target may restart under the same name.
 struct TargetBoot {
     std::string name;
