Reports, notices of targets and the test fleet: names and repetition that a newcomer stumbles over

briefReport() replaces two lists of the same fields; isOwnResponse() says when a response counts as the target's own, in place of a member whose name did not; the test fleet's prepare() had one caller. No decision changes. test_mesh has no errors.

--- a/src/mesh/meshnode_fleet.cpp
+++ b/src/mesh/meshnode_fleet.cpp
@@ -357,24 +357,32 @@
     }
 }
 
-void MeshNode::Impl::sendBriefReports(ReportScope scope)
+NodeReport MeshNode::Impl::briefReport() const
 {
-    if (!m_self) {
-        return;
-    }
-    m_lastReportSentAt = bootTime();
-    const NodeReport report{
+    return {
         .asksReply = false,
         .isComplete = false,
         .configuration = m_feed.version(),
         .target = std::nullopt,
         .departures = {},
         .receiverDepartures = {},
-        .uses = m_rateLimiter.report(scope, m_lastReportSentAt),
+        .uses = {},
         .isStopping = m_isStopping,
-        .load = scope == ReportScope::Changed ? std::optional(measureLoad(m_lastReportSentAt)) : std::nullopt,
         .isStoreReachable = m_feed.isStoreReachable(),
     };
+}
+
+void MeshNode::Impl::sendBriefReports(ReportScope scope)
+{
+    if (!m_self) {
+        return;
+    }
+    m_lastReportSentAt = bootTime();
+    NodeReport report = briefReport();
+    report.uses = m_rateLimiter.report(scope, m_lastReportSentAt);
+    if (scope == ReportScope::Changed) {
+        report.load = measureLoad(m_lastReportSentAt);
+    }
     const Envelope message = report.encode();
     for (const auto &[node, peer] : m_peers.all()) {
         m_network->send(peer.peer.endpoint, message);
@@ -386,18 +394,7 @@
     if (!m_network) {
         return;
     }
-    const NodeReport report{
-        .asksReply = false,
-        .isComplete = false,
-        .configuration = m_feed.version(),
-        .target = std::nullopt,
-        .departures = {},
-        .receiverDepartures = {},
-        .uses = {},
-        .isStopping = m_isStopping,
-        .isStoreReachable = m_feed.isStoreReachable(),
-    };
-    const Envelope message = report.encode();
+    const Envelope message = briefReport().encode();
     for (const auto &[node, peer] : m_peers.all()) {
         if (peer.isReachable && m_peers.distanceTo(peer.peer.place) != PeerDistance::OtherRegion) {
             m_network->send(peer.peer.endpoint, message);
--- a/src/mesh/meshnodeimpl.h
+++ b/src/mesh/meshnodeimpl.h
@@ -82,6 +82,8 @@
     /// Sends every peer the full state of this node.
     void sendCompleteReports(bool asksReply);
     void sendCompleteReport(const KnownPeer &to, bool asksReply);
+    /// A report without changes.
+    [[nodiscard]] NodeReport briefReport() const;
     /// Sends all peers the changes only, which keeps most reports small.
     void sendBriefReports(ReportScope scope);
     /// Tells the peers of the own region which configuration this node has and whether it reaches the store.
--- a/src/mesh/meshtarget.cpp
+++ b/src/mesh/meshtarget.cpp
@@ -28,6 +28,13 @@
     return std::max<std::uint32_t>(static_cast<std::uint32_t>(slots * UsableSlotShare), 1);
 }
 
+/// Whether the response with this verdict is certainly from the target. One without a signature may come from elsewhere, and a target with another name says
+/// nothing about this one.
+bool isOwnResponse(const Verdict &verdict)
+{
+    return verdict.runState() == RunState::Ran || (verdict.runState() == RunState::NotRun && verdict.reason() == Reason::TargetFailed);
+}
+
 CompletionKind classifyCompletion(const CallOutcome &outcome)
 {
     if (outcome.response) {
@@ -217,12 +224,11 @@
     if (isUnreachable) {
         m_unreachableUntil = now + UnreachableBackoff;
     }
-    const TargetNotice notice = result.response ? m_hooks.readNotice(*result.response) : TargetNotice{};
-    const bool hasResponse = result.response.has_value();
+    const std::optional<TargetNotice> notice = result.response ? std::optional(m_hooks.readNotice(*result.response)) : std::nullopt;
     CallOutcome outcome = classifyResult(m_headers, std::move(result));
-    if (hasResponse) {
+    if (notice && isOwnResponse(outcome.verdict)) {
         // Before other requests are started in place of this one.
-        passOnNotice(notice, outcome.verdict);
+        m_hooks.noticed(*m_boot, *notice);
     }
     const Completion completion{now - found->second.started, classifyCompletion(outcome)};
     endRun(found->second, now, outcome.response.has_value());
@@ -232,15 +238,6 @@
     apply(actions);
 }
 
-void MeshTarget::passOnNotice(const TargetNotice &notice, const Verdict &verdict)
-{
-    // Without a signature the response may come from elsewhere, and a target with another name says nothing about this one.
-    const bool isOwn = verdict.runState() == RunState::Ran || (verdict.runState() == RunState::NotRun && verdict.reason() == Reason::TargetFailed);
-    if (isOwn) {
-        m_hooks.noticed(*m_boot, notice);
-    }
-}
-
 void MeshTarget::beginRun(Attempt &attempt, TimePoint now)
 {
     attempt.started = now;
--- a/src/mesh/meshtarget.h
+++ b/src/mesh/meshtarget.h
@@ -132,8 +132,7 @@
     void endRun(const Attempt &attempt, TimePoint now, bool hasResponse);
     void sendAnswer(Attempt &attempt, const Verdict &verdict, std::optional<HttpResponse> response);
     void cancel(AttemptTicket ticket);
-    /// Passes on what the target says about itself in the response that led to @p outcome.
-    void passOnNotice(const TargetNotice &notice, const Verdict &verdict);
+    /// Wakes up when the rate limit permits the next queued request.
     void scheduleNextStart();
     [[nodiscard]] std::optional<Verdict> refusalBeforeAdmission(TimePoint now) const;
     [[nodiscard]] AdmissionHint hintFor(const CallRequest &request, TimePoint now) const;
--- a/src/mesh/test/meshfleet.cpp
+++ b/src/mesh/test/meshfleet.cpp
@@ -267,23 +267,17 @@
              .body = seen.target});
 }
 
-std::string MeshFleet::prepare(const std::function<void(MeshObjects &)> &change)
+void MeshFleet::publish(const std::function<void(MeshObjects &)> &change)
 {
-    return m_rig.run([&] {
+    m_rig.run([&] {
         change(m_objects);
         m_objects.version = static_cast<ConfigurationVersion>(static_cast<std::uint64_t>(m_objects.version) + 1);
-        std::string document = std::to_string(static_cast<std::uint64_t>(m_objects.version));
+        const std::string document = std::to_string(static_cast<std::uint64_t>(m_objects.version));
         m_documents.emplace(document, m_objects);
-        return document;
+        m_store->put(ConfigurationRow, document);
     });
 }
 
-void MeshFleet::publish(const std::function<void(MeshObjects &)> &change)
-{
-    const std::string document = prepare(change);
-    m_rig.run([&] { m_store->put(ConfigurationRow, document); });
-}
-
 void MeshFleet::notifyNode(std::size_t node, const std::string &method, const std::string &body)
 {
     RawConnection connection(m_hosts[node].settings.reports);
--- a/src/mesh/test/meshfleet.h
+++ b/src/mesh/test/meshfleet.h
@@ -106,8 +106,6 @@
     {
         return m_hosts.front().settings.secret;
     }
-    /// The next version that publish() would use, for documents that reach nodes by another way than the store.
-    std::string prepare(const std::function<void(MeshObjects &)> &change);
     /// Sends a request to a node and reads the whole response. Repeats until the status is @p status, to wait until the fleet has converged.
     std::string requestUntil(std::size_t node, const std::string &head, const std::string &status);
     std::string request(std::size_t node, const std::string &head);
