--- a/src/edge/httpconnectionpool.cpp
+++ b/src/edge/httpconnectionpool.cpp
@@ -152,7 +152,7 @@
     {
         const TimePoint now = steadyNow();
         for (std::size_t n = m_idleConnections.size(); n > 0; --n) {
-            const ConnectionPointer connection = m_idleConnections[n - 1];
+            ConnectionPointer connection = m_idleConnections[n - 1];
             const Duration idle = now - connection->idleSince();
             if (idle > connection->idleTimeout()) {
                 // The list is in order of last use, so all connections before this one have been idle even longer.
