A response that stops in the middle of its head is no answer

Cause: libcurl reports success when a connection closes after part of the head, so that banyankeel-node passed on a 200 with an empty body, framed as whole; and a chunked response was never seen as chunked, because an earlier rename had changed the header's name in a comparison, so that it was refused. Change: a response counts only after the empty line that ends its head; the name of the header is right again. Measured: both tests failed before (http/ConnectionCutInTheMiddleOfAHeadIsNoAnswer for each cut after Content-Length: 0, http/AChunkedResponseIsDeliveredWhole) and hold now.

--- a/src/transport/httptransfer.cpp
+++ b/src/transport/httptransfer.cpp
@@ -182,6 +182,11 @@
         m_response.headers.clear();
         m_hasLength = false;
         m_isChunked = false;
+        m_isHeadComplete = false;
+        return;
+    }
+    if (trimmed(line).empty()) {
+        m_isHeadComplete = true;
         return;
     }
     const std::size_t colon = line.find(':');
@@ -190,7 +195,7 @@
     }
     HttpHeader header{std::string(trimmed(line.substr(0, colon))), std::string(trimmed(line.substr(colon + 1)))};
     m_hasLength = m_hasLength || strcasecmp(header.name.c_str(), "Content-Length") == 0;
-    m_isChunked = m_isChunked || strcasecmp(header.name.c_str(), "HttpTransfer-Encoding") == 0;
+    m_isChunked = m_isChunked || strcasecmp(header.name.c_str(), "Transfer-Encoding") == 0;
     m_response.headers.push_back(std::move(header));
 }
 
@@ -239,6 +244,10 @@
     if (code != CURLE_OK) {
         return {std::nullopt, failedRunState(), reasonOf(code), curl_easy_strerror(code)};
     }
+    // libcurl takes a connection that closes in the middle of the head for the end of a response without a body.
+    if (!m_isHeadComplete) {
+        return {std::nullopt, RunState::MayHaveRun, Reason::BodyIncomplete, "the connection closed before the end of the head"};
+    }
     long status = 0;
     curl_easy_getinfo(m_handle.get(), CURLINFO_RESPONSE_CODE, &status);
     if (!isBodyFramed(status)) {
--- a/src/transport/httptransfer.h
+++ b/src/transport/httptransfer.h
@@ -97,6 +97,7 @@
     CurlList m_headers;
     CurlHandle m_handle;
     HttpResponse m_response{};
+    bool m_isHeadComplete = false;
     bool m_hasLength = false;
     bool m_isChunked = false;
     bool m_bodyBegan = false;
--- a/src/transport/test/http_test.cpp
+++ b/src/transport/test/http_test.cpp
@@ -136,6 +136,39 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(ConnectionCutInTheMiddleOfAHeadIsNoAnswer)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nSignature: s\r\nContent-Length: 0\r\n\r\n";
+    for (std::size_t n = 0; n < head.size(); ++n) {
+        BOOST_TEST_CONTEXT(head.substr(0, n))
+        {
+            RawServer raw;
+            HttpClient client({});
+            auto answer = ask(client, raw.endpoint(), get("/"));
+            RawConnection connection = raw.accept();
+            connection.readUntil("\r\n\r\n");
+            connection.write(head.substr(0, n));
+            connection.close();
+            const HttpResult it = await(answer);
+            BOOST_CHECK(!it.response);
+            BOOST_CHECK(it.runState == RunState::MayHaveRun);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(AChunkedResponseIsDeliveredWhole)
+{
+    RawServer raw;
+    HttpClient client({});
+    auto answer = ask(client, raw.endpoint(), get("/"));
+    RawConnection connection = raw.accept();
+    connection.readUntil("\r\n\r\n");
+    connection.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n12345\r\n0\r\n\r\n");
+    const HttpResult it = await(answer);
+    BOOST_REQUIRE(it.response);
+    BOOST_CHECK_EQUAL(it.response->body, "12345");
+}
+
 BOOST_AUTO_TEST_CASE(RequestIsNotSentTwiceWhenAKeptConnectionCloses)
 {
     RawServer raw;
