A message that was not written before its connection ended is reported as unsent

Cause: whatever waited for a lost connection was taken for sent, so that a request that had never left its node ended as may-have-run, and its caller could not repeat it. Change: frames that were not written to their end are handed back before the loss is reported. Measured: peernetwork/AMessageThatWasNotWrittenBeforeItsConnectionEndedIsReportedUnsent.

--- a/src/transport/frame.h
+++ b/src/transport/frame.h
@@ -28,4 +28,9 @@
     };
 }
 
+inline MessageType messageTypeOf(const FrameHeader &header)
+{
+    return static_cast<MessageType>(header.back());
+}
+
 } // namespace banyankeel
--- a/src/transport/framequeue.cpp
+++ b/src/transport/framequeue.cpp
@@ -31,6 +31,19 @@
     other.m_bytes = 0;
 }
 
+std::vector<Envelope> FrameQueue::takeUnwritten()
+{
+    std::vector<Envelope> unwritten;
+    unwritten.reserve(m_frames.size());
+    for (Frame &frame : m_frames) {
+        unwritten.push_back({messageTypeOf(frame.header), std::move(frame.payload)});
+    }
+    m_frames.clear();
+    m_bytes = 0;
+    m_writtenOfFirst = 0;
+    return unwritten;
+}
+
 std::span<const iovec> FrameQueue::front()
 {
     std::size_t count = 0;
--- a/src/transport/framequeue.h
+++ b/src/transport/framequeue.h
@@ -15,6 +15,7 @@
 #include <cstddef>
 #include <deque>
 #include <span>
+#include <vector>
 
 namespace banyankeel
 {
@@ -30,6 +31,8 @@
     void push(Envelope envelope);
     /// Takes all frames of @p other, of which none may have been written in part.
     void takeAll(FrameQueue &other);
+    /// Removes and returns the frames that were not written to their end. The other side can't read any of them.
+    std::vector<Envelope> takeUnwritten();
     [[nodiscard]] bool isEmpty() const
     {
         return m_frames.empty();
--- a/src/transport/peerconnection.cpp
+++ b/src/transport/peerconnection.cpp
@@ -257,10 +257,12 @@
 bool PeerConnection::writeOnce(std::unique_lock<std::mutex> &lock)
 {
     const std::span<const iovec> pieces = m_queue.front();
+    m_isInSystemCall = true;
     lock.unlock();
     const ssize_t written = writePieces(m_descriptor, pieces);
     const int error = errno;
     lock.lock();
+    m_isInSystemCall = false;
     if (written >= 0) {
         m_queue.written(static_cast<std::size_t>(written));
         m_sentBytes += static_cast<std::size_t>(written);
@@ -351,9 +353,14 @@
     if (std::exchange(m_hasFinished, true)) {
         return;
     }
+    std::vector<Envelope> unsent;
     {
         const std::scoped_lock lock(m_mutex);
         m_isClosed = true;
+        // What another thread is writing may arrive.
+        if (!m_isInSystemCall) {
+            unsent = m_queue.takeUnwritten();
+        }
         if (m_descriptor >= 0) {
             // Another thread may be writing, so that the descriptor stays open until nobody holds this object.
             shutdown(m_descriptor, SHUT_RDWR);
@@ -363,7 +370,7 @@
         std::error_code ec;
         m_socket.close(ec);
     }
-    m_hooks.ended(shared_from_this(), end, problem);
+    m_hooks.ended(shared_from_this(), end, problem, unsent);
 }
 
 void PeerConnection::touch()
--- a/src/transport/peerconnection.h
+++ b/src/transport/peerconnection.h
@@ -20,6 +20,7 @@
 #include <memory>
 #include <mutex>
 #include <string>
+#include <vector>
 
 namespace banyankeel
 {
@@ -45,8 +46,8 @@
     std::function<std::string(const std::shared_ptr<PeerConnection> &connection)> accepted;
     /// May throw Error to refuse a message as damaged.
     std::function<void(const Peer &from, Envelope envelope)> message;
-    /// The last call for a connection.
-    std::function<void(const std::shared_ptr<PeerConnection> &connection, ConnectionEnd end, const std::string &problem)> ended;
+    /// The last call for a connection. @param unsent messages that were not written to their end, so that the other side can't have received them.
+    std::function<void(const std::shared_ptr<PeerConnection> &connection, ConnectionEnd end, const std::string &problem, const std::vector<Envelope> &unsent)> ended;
 };
 
 /// Hooks are called on the connection's strand. The other functions may be called from any thread.
@@ -147,6 +148,8 @@
     FrameQueue m_queue;
     /// Whether a thread writes the queue, or the strand will go on with it.
     bool m_isWriting = false;
+    /// Whether a system call reads frames of the queue.
+    bool m_isInSystemCall = false;
     int m_descriptor = -1;
 };
 
--- a/src/transport/peernetwork.cpp
+++ b/src/transport/peernetwork.cpp
@@ -79,7 +79,7 @@
 
     std::string helloAccepted(const ConnectionPointer &connection);
     std::vector<ConnectionPointer> olderIncarnations(const ConnectionPointer &connection, bool &isOutdated);
-    void ended(const ConnectionPointer &connection, ConnectionEnd end, const std::string &problem);
+    void ended(const ConnectionPointer &connection, ConnectionEnd end, const std::string &problem, const std::vector<Envelope> &unsent);
     void forget(const ConnectionPointer &connection, ConnectionEnd end);
     [[nodiscard]] bool isReachable(const Endpoint &peer);
     [[nodiscard]] bool isLoss(const ConnectionPointer &connection, ConnectionEnd end);
@@ -117,7 +117,10 @@
     , m_connectionHooks{
           .accepted = [this](const ConnectionPointer &connection) { return helloAccepted(connection); },
           .message = m_hooks.message,
-          .ended = [this](const ConnectionPointer &connection, ConnectionEnd end, const std::string &problem) { ended(connection, end, problem); },
+          .ended = [this](const ConnectionPointer &connection,
+                          ConnectionEnd end,
+                          const std::string &problem,
+                          const std::vector<Envelope> &unsent) { ended(connection, end, problem, unsent); },
       }
     , m_ownContext(external == nullptr ? std::make_unique<asio::io_context>(static_cast<int>(m_settings.threads)) : nullptr)
     , m_context(external == nullptr ? *m_ownContext : *external)
@@ -301,8 +304,13 @@
     return older;
 }
 
-void PeerNetwork::Impl::ended(const ConnectionPointer &connection, ConnectionEnd end, const std::string &problem)
+void PeerNetwork::Impl::ended(const ConnectionPointer &connection, ConnectionEnd end, const std::string &problem, const std::vector<Envelope> &unsent)
 {
+    if (m_hooks.unsent && connection->key()) {
+        for (const Envelope &it : unsent) {
+            m_hooks.unsent(*connection->key(), it);
+        }
+    }
     if (end == ConnectionEnd::Refused) {
         m_hooks.refused(connection->remote(), problem);
     }
--- a/src/transport/peernetwork.h
+++ b/src/transport/peernetwork.h
@@ -40,7 +40,7 @@
     Duration idleLimit = std::chrono::seconds(120);
 };
 
-/// All must be set.
+/// All must be set, but for those that say otherwise.
 struct PeerNetworkHooks {
     /// A whole frame from a peer whose hello was accepted. Called on a network thread, in order for each peer; must not block.
     /// May throw Error to refuse it as damaged, which closes the connection.
@@ -50,6 +50,9 @@
     std::function<void(const Endpoint &peer, bool mayHaveArrived)> lost;
     /// One log line for each refused or damaged connection: where from, and why.
     std::function<void(const std::string &remote, const std::string &problem)> refused;
+    /// A message to @p peer that was queued can't have been received: its connection ended before all of it was written. Called before lost() for
+    /// that connection, which does not concern this message. May be null.
+    std::function<void(const Endpoint &peer, const Envelope &message)> unsent = nullptr;
 };
 
 enum class SendResult {
--- a/src/transport/test/peernetwork_test.cpp
+++ b/src/transport/test/peernetwork_test.cpp
@@ -137,6 +137,35 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(AMessageThatWasNotWrittenBeforeItsConnectionEndedIsReportedUnsent)
+{
+    constexpr std::size_t Messages = 60;
+    constexpr std::size_t MessageBytes = std::size_t{1} * 1024 * 1024;
+    std::promise<void> resume;
+    const std::shared_future<void> resumed = resume.get_future().share();
+    PeerNetworkSettings settings{.self = testPeer("a"), .secret = TestSecret};
+    settings.maxQueuedBytes = Messages * MessageBytes * 2;
+    TestNode sender(settings);
+    // Reads nothing more until the test lets it.
+    TestNode receiver(PeerNetworkSettings{.self = testPeer("b"), .secret = TestSecret}, [resumed](const Envelope &) { resumed.wait(); });
+    const auto payloadOf = [](std::size_t n) { return std::to_string(n) + ' ' + std::string(MessageBytes, 'x'); };
+    for (std::size_t n = 0; n < Messages; ++n) {
+        BOOST_REQUIRE(sender.send(receiver, payloadOf(n)) == SendResult::Queued);
+    }
+    std::this_thread::sleep_for(200ms);
+    sender.network->drop(receiver.self.endpoint, "test");
+    BOOST_REQUIRE(sender.loses(1));
+    const std::vector<Envelope> unsent = sender.records().unsent;
+    BOOST_CHECK_GT(unsent.size(), 0U);
+    BOOST_CHECK_LT(unsent.size(), Messages);
+    resume.set_value();
+    BOOST_CHECK(receiver.loses(1));
+    // A message that is reported unsent is not received, and the others were written.
+    for (const auto &[from, message] : receiver.records().messages) {
+        BOOST_CHECK(std::ranges::find(unsent, message) == unsent.end());
+    }
+}
+
 BOOST_AUTO_TEST_CASE(UnreachablePeerIsReportedLostOnceAndConnectedLater)
 {
     TestNode a("a");
--- a/src/transport/test/peertest.h
+++ b/src/transport/test/peertest.h
@@ -46,6 +46,7 @@
     std::vector<std::pair<Peer, Envelope>> messages;
     std::vector<Endpoint> losses;
     std::vector<std::string> refusals;
+    std::vector<Envelope> unsent;
 };
 
 class TestNode
@@ -112,6 +113,7 @@
                 },
             .lost = [this](const Endpoint &peer, bool /*mayHaveArrived*/) { record([&] { m_records.losses.push_back(peer); }); },
             .refused = [this](const std::string &, const std::string &problem) { record([&] { m_records.refusals.push_back(problem); }); },
+            .unsent = [this](const Endpoint &, const Envelope &message) { record([&] { m_records.unsent.push_back(message); }); },
         };
     }
 
