--- a/src/edge/edgeconnection.cpp
+++ b/src/edge/edgeconnection.cpp
@@ -1,8 +1,7 @@
 #include "edge/edgeconnection.h"
 
-#include "edge/httpmessagewriter.h"
-
 #include <asio/buffer.hpp>
+#include <asio/post.hpp>
 
 #include <strings.h>
 
@@ -134,16 +133,23 @@
 
 void EdgeConnection::onEndOfInput()
 {
-    const bool wasHandling = m_state == State::Handling;
-    if (m_state == State::Closed) {
-        return;
+    if (m_state != State::Closed) {
+        closeOnClientLoss();
     }
+}
+
+void EdgeConnection::closeOnClientLoss()
+{
+    // Moved out first, because the hooks may destroy the request that owns them.
+    const bool wasHandling = m_state == State::Handling;
+    const std::function<void()> disconnected = std::exchange(m_onClientDisconnect, nullptr);
+    const ResponseBodyHooks bodyHooks = std::exchange(m_bodyHooks, {});
     close();
-    if (wasHandling) {
-        // Moved out first, because the hook may destroy the request that owns it.
-        if (const std::function<void()> hook = std::exchange(m_onClientDisconnect, nullptr)) {
-            hook();
-        }
+    if (wasHandling && disconnected) {
+        disconnected();
+    }
+    if (bodyHooks.clientLeft) {
+        bodyHooks.clientLeft();
     }
 }
 
@@ -211,6 +217,7 @@
     m_keepAlive = m_reader.allowsReuse();
     HttpRequest request = m_reader.takeRequest();
     m_isHeadRequest = request.method == "HEAD";
+    m_isHttp11 = m_reader.isHttp11();
     if (!findHeader(request.headers, "Host")) {
         refuse(BadRequest);
         return;
@@ -230,6 +237,10 @@
             if (self && self->m_state == State::Handling && self->m_requestNumber == number) {
                 self->m_onClientDisconnect = std::move(hook);
             }
+        },
+        [weak, number](const HttpResponse &head, std::optional<std::uint64_t> length, ResponseBodyHooks hooks) {
+            const std::shared_ptr<EdgeConnection> self = weak.lock();
+            return self ? self->beginBody(number, head, length, std::move(hooks)) : ResponseBody([](const std::string &) {}, [](bool) {});
         });
     m_shared->handler(std::move(request), respond);
 }
@@ -250,6 +261,104 @@
     write();
 }
 
+ResponseBody EdgeConnection::beginBody(std::uint64_t request, const HttpResponse &head, std::optional<std::uint64_t> length, ResponseBodyHooks hooks)
+{
+    const std::weak_ptr<EdgeConnection> weak = weak_from_this();
+    ResponseBody body(
+        [weak, request](std::string bytes) {
+            if (const std::shared_ptr<EdgeConnection> self = weak.lock()) {
+                self->writeBodyPart(request, std::move(bytes));
+            }
+        },
+        [weak, request](bool isWhole) {
+            if (const std::shared_ptr<EdgeConnection> self = weak.lock()) {
+                self->endBody(request, isWhole);
+            }
+        });
+    if (m_state != State::Handling || request != m_requestNumber) {
+        return body;
+    }
+    const BodyFraming unsized = m_isHttp11 ? BodyFraming::Chunks : BodyFraming::Connection;
+    m_bodyFraming = length ? BodyFraming::Length : unsized;
+    m_onClientDisconnect = nullptr;
+    m_bodyHooks = std::move(hooks);
+    m_keepAlive = m_keepAlive && !m_shared->isDraining && m_bodyFraming != BodyFraming::Connection;
+    m_head = serializeStreamHead(head, *m_bodyFraming, length.value_or(0), m_keepAlive ? ConnectionOption::KeepAlive : ConnectionOption::Close);
+    m_body.clear();
+    m_sentBytes = 0;
+    m_undrainedBytes = 0;
+    m_state = State::Writing;
+    m_lastProgress = steadyNow();
+    write();
+    return body;
+}
+
+bool EdgeConnection::awaitsBody(std::uint64_t request) const
+{
+    return m_state == State::Writing && request == m_requestNumber && m_bodyFraming;
+}
+
+void EdgeConnection::writeBodyPart(std::uint64_t request, std::string bytes)
+{
+    if (!awaitsBody(request)) {
+        return;
+    }
+    // What has been sent is dropped, so that only unsent bytes are held.
+    if (m_sentBytes >= m_head.size()) {
+        m_body.erase(0, m_sentBytes - m_head.size());
+        m_head.clear();
+        m_sentBytes = 0;
+    }
+    if (m_undrainedBytes == 0) {
+        m_lastProgress = steadyNow();
+    }
+    m_undrainedBytes += bytes.size();
+    m_body += m_bodyFraming == BodyFraming::Chunks ? serializeChunk(bytes) : std::move(bytes);
+    updateBufferedBytes();
+    write();
+}
+
+void EdgeConnection::endBody(std::uint64_t request, bool isWhole)
+{
+    if (!awaitsBody(request)) {
+        return;
+    }
+    const BodyFraming framing = *std::exchange(m_bodyFraming, std::nullopt);
+    m_bodyHooks = {};
+    if (!isWhole) {
+        abortResponse();
+        return;
+    }
+    if (framing == BodyFraming::Chunks) {
+        m_body += LastChunk;
+    }
+    write();
+}
+
+void EdgeConnection::abortResponse()
+{
+    // A reset, because an orderly close completes a body without a length.
+    std::error_code ec;
+    m_socket.set_option(asio::socket_base::linger(true, 0), ec);
+    close();
+}
+
+void EdgeConnection::reportDrained()
+{
+    const std::size_t n = std::exchange(m_undrainedBytes, 0);
+    if (n == 0) {
+        return;
+    }
+    // Posted, because the hook may write the next part, and this may be a call of writing the last one.
+    asio::post(m_socket.get_executor(), [weak = weak_from_this(), request = m_requestNumber, n] {
+        const std::shared_ptr<EdgeConnection> self = weak.lock();
+        if (self && self->awaitsBody(request) && self->m_bodyHooks.drained) {
+            const std::function<void(std::size_t)> drained = self->m_bodyHooks.drained;
+            drained(n);
+        }
+    });
+}
+
 void EdgeConnection::refuse(int status)
 {
     ++m_shared->counts.refused;
@@ -271,7 +380,10 @@
     while (m_state == State::Writing) {
         const std::size_t total = m_head.size() + m_body.size();
         if (m_sentBytes >= total) {
-            onResponseWritten();
+            reportDrained();
+            if (!m_bodyFraming) {
+                onResponseWritten();
+            }
             return;
         }
         const std::size_t headSent = std::min(m_sentBytes, m_head.size());
@@ -283,15 +395,11 @@
         std::error_code ec;
         const std::size_t n = m_socket.write_some(pieces, ec);
         if (ec == asio::error::would_block || ec == asio::error::try_again) {
-            m_socket.async_wait(asio::ip::tcp::socket::wait_write, [self = shared_from_this()](const std::error_code &failure) {
-                if (!failure) {
-                    self->write();
-                }
-            });
+            waitWritable();
             return;
         }
         if (ec) {
-            close();
+            closeOnClientLoss();
             return;
         }
         m_sentBytes += n;
@@ -299,6 +407,19 @@
     }
 }
 
+void EdgeConnection::waitWritable()
+{
+    if (std::exchange(m_isWritePending, true)) {
+        return;
+    }
+    m_socket.async_wait(asio::ip::tcp::socket::wait_write, [self = shared_from_this()](const std::error_code &ec) {
+        self->m_isWritePending = false;
+        if (!ec) {
+            self->write();
+        }
+    });
+}
+
 void EdgeConnection::onResponseWritten()
 {
     m_head = std::string();
@@ -349,8 +470,9 @@
         }
         return;
     case State::Writing:
-        if (age > limits.stallTimeout) {
-            close();
+        // While all parts that have arrived are sent, it is not the client that stalls.
+        if (age > limits.stallTimeout && !(m_bodyFraming && m_undrainedBytes == 0)) {
+            closeOnClientLoss();
         }
         return;
     case State::Lingering:
@@ -364,6 +486,13 @@
     }
 }
 
+void EdgeConnection::countBusy(EdgeBusyCounts &counts) const
+{
+    counts.reading += m_state == State::Reading && m_reader.hasBegun() ? 1 : 0;
+    counts.handling += m_state == State::Handling ? 1 : 0;
+    counts.writing += m_state == State::Writing ? 1 : 0;
+}
+
 void EdgeConnection::closeIfIdle()
 {
     if (m_state == State::Reading && !m_reader.hasBegun()) {
@@ -382,6 +511,8 @@
     m_unparsed = std::string();
     m_head = std::string();
     m_body = std::string();
+    m_bodyFraming.reset();
+    m_bodyHooks = {};
     m_reader.reset();
     updateBufferedBytes();
 }
--- a/src/edge/edgeconnection.h
+++ b/src/edge/edgeconnection.h
@@ -4,6 +4,7 @@
 
 #include "edge/edgeserver.h"
 #include "edge/httpmessagereader.h"
+#include "edge/httpmessagewriter.h"
 #include "state/time.h"
 
 #include <asio/ip/tcp.hpp>
@@ -11,6 +12,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 
@@ -56,6 +58,9 @@
         return m_state == State::Handling || m_state == State::Writing || (m_state == State::Reading && m_reader.hasBegun());
     }
 
+    /// Adds this connection to @p counts if it is busy.
+    void countBusy(EdgeBusyCounts &counts) const;
+
 private:
     enum class State : std::uint8_t {
         Reading,
@@ -67,6 +72,7 @@
     };
 
     void waitReadable();
+    void waitWritable();
     void readAvailable();
     void receive(std::string_view bytes);
     void onEndOfInput();
@@ -74,6 +80,16 @@
     void onHeadersComplete();
     void onRequestComplete();
     void sendResponse(std::uint64_t request, HttpResponse response);
+    ResponseBody beginBody(std::uint64_t request, const HttpResponse &head, std::optional<std::uint64_t> length, ResponseBodyHooks hooks);
+    void writeBodyPart(std::uint64_t request, std::string bytes);
+    void endBody(std::uint64_t request, bool isWhole);
+    /// Whether @p request is the current one and parts of its response's body are still to come.
+    [[nodiscard]] bool awaitsBody(std::uint64_t request) const;
+    /// Closes the connection so that the client can't take what it has received for a whole response.
+    void abortResponse();
+    void reportDrained();
+    /// Closes the connection and tells whoever waits for the client or writes its response.
+    void closeOnClientLoss();
     /// Responds with @p status without calling the handler, then closes the connection.
     void refuse(int status);
     void write();
@@ -94,8 +110,15 @@
     bool m_keepAlive = true;
     bool m_hasSentContinue = false;
     bool m_isHeadRequest = false;
+    bool m_isHttp11 = true;
     bool m_isReadPending = false;
+    bool m_isWritePending = false;
     bool m_isParsing = false;
+    /// How the body in parts under way is framed; absent for a whole response, and once the last part is there.
+    std::optional<BodyFraming> m_bodyFraming;
+    ResponseBodyHooks m_bodyHooks;
+    /// Body bytes in m_body, without their framing, of a response in parts.
+    std::size_t m_undrainedBytes = 0;
     /// Number of the current request. Responses to earlier requests are ignored.
     std::uint64_t m_requestNumber = 0;
     std::function<void()> m_onClientDisconnect;
--- a/src/edge/edgeserver.cpp
+++ b/src/edge/edgeserver.cpp
@@ -90,11 +90,25 @@
         return static_cast<std::size_t>(std::ranges::count_if(m_connections, [](const auto &it) { return it->isBusy(); }));
     }
 
+    [[nodiscard]] EdgeBusyCounts busyCounts() const
+    {
+        EdgeBusyCounts counts;
+        for (const std::shared_ptr<EdgeConnection> &it : m_connections) {
+            it->countBusy(counts);
+        }
+        return counts;
+    }
+
     [[nodiscard]] std::size_t openConnections() const
     {
         return static_cast<std::size_t>(std::ranges::count_if(m_connections, [](const auto &it) { return !it->isClosed(); }));
     }
 
+    [[nodiscard]] std::size_t bufferedBytes() const
+    {
+        return m_shared->bufferedBytes;
+    }
+
     [[nodiscard]] const EdgeCounts &counts() const
     {
         return m_shared->counts;
@@ -206,11 +220,21 @@
     return m_impl->busyConnections();
 }
 
+EdgeBusyCounts EdgeServer::busyCounts() const
+{
+    return m_impl->busyCounts();
+}
+
 std::size_t EdgeServer::openConnections() const
 {
     return m_impl->openConnections();
 }
 
+std::size_t EdgeServer::bufferedBytes() const
+{
+    return m_impl->bufferedBytes();
+}
+
 const EdgeCounts &EdgeServer::counts() const
 {
     return m_impl->counts();
--- a/src/edge/edgeserver.h
+++ b/src/edge/edgeserver.h
@@ -57,6 +57,18 @@
     friend auto operator<=>(const EdgeCounts &, const EdgeCounts &) = default;
 };
 
+/// Connections with a request whose response is not completely written, by what they wait for.
+struct EdgeBusyCounts {
+    /// The rest of a request.
+    std::size_t reading = 0;
+    /// The handler's response.
+    std::size_t handling = 0;
+    /// The client to read the response.
+    std::size_t writing = 0;
+
+    friend auto operator<=>(const EdgeBusyCounts &, const EdgeBusyCounts &) = default;
+};
+
 /// All functions must be called, and all callbacks run, on the thread of the io_context.
 class EdgeServer
 {
@@ -81,7 +93,10 @@
 
     /// Number of connections with a request whose response is not completely written.
     [[nodiscard]] std::size_t busyConnections() const;
+    [[nodiscard]] EdgeBusyCounts busyCounts() const;
     [[nodiscard]] std::size_t openConnections() const;
+    /// Bytes of requests and responses that all connections hold.
+    [[nodiscard]] std::size_t bufferedBytes() const;
     [[nodiscard]] const EdgeCounts &counts() const;
 
 private:
--- a/src/edge/httpconnectionpool.cpp
+++ b/src/edge/httpconnectionpool.cpp
@@ -17,6 +17,8 @@
 
 namespace
 {
+// A body in parts goes on after the time limit while its receiver takes parts within this time.
+constexpr Duration StreamStallLimit = std::chrono::seconds(3);
 constexpr std::size_t ReadBufferBytes = std::size_t{32} * 1024;
 
 TimePoint steadyNow()
@@ -91,6 +93,14 @@
         connection->abandon();
     }
 
+    void grant(PoolCallId id, std::size_t bytes)
+    {
+        const auto it = m_calls.find(id);
+        if (it != m_calls.end()) {
+            it->second.connection->grant(bytes);
+        }
+    }
+
     void closeIdle()
     {
         closeIdle(m_idleConnections.size());
@@ -219,7 +229,8 @@
     [[nodiscard]] static TimePoint extendedDeadline(const Call &call)
     {
         const std::optional<TimePoint> receivedAt = call.connection->receivedAt();
-        return receivedAt ? std::min(*receivedAt + call.stallLimit, call.latestDeadline) : TimePoint::min();
+        const Duration stallLimit = call.connection->isStreaming() ? std::max(call.stallLimit, StreamStallLimit) : call.stallLimit;
+        return receivedAt ? std::min(*receivedAt + stallLimit, call.latestDeadline) : TimePoint::min();
     }
 
     void expireCalls()
@@ -274,6 +285,11 @@
     m_impl->cancel(call);
 }
 
+void HttpConnectionPool::grant(PoolCallId call, std::size_t bytes)
+{
+    m_impl->grant(call, bytes);
+}
+
 void HttpConnectionPool::closeIdle()
 {
     m_impl->closeIdle();
--- a/src/edge/httpconnectionpool.h
+++ b/src/edge/httpconnectionpool.h
@@ -15,6 +15,8 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
+#include <string>
 
 namespace asio
 {
@@ -36,6 +38,18 @@
     Duration nonRepeatableIdleTimeout = std::chrono::seconds(1);
 };
 
+/// Receives a response whose body is longer than StreamThresholdBytes in parts.
+struct ResponseStream {
+    /// The response begins; its body is empty and follows. @param length of the whole body, if the server announced it.
+    std::function<void(HttpResponse head, std::optional<std::uint64_t> length)> began;
+    /// Further bytes of the body. The last ones come with the result, in the body of its response.
+    std::function<void(std::string bytes)> part;
+    /// Bytes that are read before the first grant().
+    std::size_t initialCredit = 0;
+};
+
+inline constexpr std::size_t StreamThresholdBytes = std::size_t{64} * 1024;
+
 struct PoolCall {
     HttpRequest request;
     /// Must be positive.
@@ -51,6 +65,8 @@
     std::function<bool(const HttpResponse &response)> isAmbiguous = nullptr;
     /// Equal in calls whose responses can't be told apart, such as repeats of a request. They are not sent over the same connection. May be empty.
     std::string repeatId = {};
+    /// If set, a long response is delivered in parts, whatever its length.
+    std::optional<ResponseStream> stream = std::nullopt;
 };
 
 /// Bounds how long a slow server can extend a call.
@@ -86,6 +102,8 @@
     PoolCallId send(PoolCall call, Handler handler);
     /// Closes the call's connection, so that the server can detect the cancellation. The handler is not called. No effect if the call has ended.
     void cancel(PoolCallId call);
+    /// Permits @p bytes more of a response that is delivered in parts to be read. No effect if the call has ended.
+    void grant(PoolCallId call, std::size_t bytes);
     /// Closes all idle connections. Used when another server process has taken over the address.
     void closeIdle();
     /// Fails all calls with Reason::ConnectionLost and closes all connections.
--- a/src/edge/httpmessagereader.cpp
+++ b/src/edge/httpmessagereader.cpp
@@ -28,6 +28,7 @@
     m_target.clear();
     m_headers.clear();
     m_body = std::string();
+    m_bodyLength.reset();
     m_headerBytes = 0;
     m_isInValue = false;
     m_hasBegun = false;
@@ -148,6 +149,7 @@
     }
     const std::uint64_t length = m_parser.content_length;
     if (length != Unknown && !m_skipBody) {
+        m_bodyLength = length;
         if (length > m_limits.bodyBytes) {
             fail(HttpParseError::BodyTooLarge);
             return StopParsing;
@@ -172,6 +174,11 @@
     m_error = error;
 }
 
+std::string HttpMessageReader::takeBodyPart()
+{
+    return std::exchange(m_body, {});
+}
+
 HttpRequest HttpMessageReader::takeRequest()
 {
     const char *method = http_method_str(static_cast<http_method>(m_parser.method));
--- a/src/edge/httpmessagereader.h
+++ b/src/edge/httpmessagereader.h
@@ -78,11 +78,23 @@
     {
         return m_headers;
     }
-    /// Number of body bytes received so far.
+    /// Number of body bytes received so far and not taken.
     [[nodiscard]] std::size_t bodyBytes() const
     {
         return m_body.size();
     }
+    /// The value of Content-Length, if there is one. Valid once hasHeaders().
+    [[nodiscard]] std::optional<std::uint64_t> bodyLength() const
+    {
+        return m_bodyLength;
+    }
+    /// Whether the message is of HTTP/1.1. Valid once hasHeaders().
+    [[nodiscard]] bool isHttp11() const
+    {
+        return m_parser.http_major == 1 && m_parser.http_minor >= 1;
+    }
+    /// Removes and returns the body bytes received so far; further ones are not limited by HttpMessageLimits::bodyBytes in total.
+    std::string takeBodyPart();
     /// Status code of a response. Valid once hasHeaders().
     [[nodiscard]] int status() const
     {
@@ -110,6 +122,7 @@
     std::string m_target;
     std::vector<HttpHeader> m_headers;
     std::string m_body;
+    std::optional<std::uint64_t> m_bodyLength;
     std::size_t m_headerBytes = 0;
     bool m_isInValue = false;
     bool m_hasBegun = false;
--- a/src/edge/pooledconnection.cpp
+++ b/src/edge/pooledconnection.cpp
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <limits>
 #include <utility>
 
 namespace banyankeel
@@ -36,6 +37,13 @@
     return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
 }
 
+/// A body that is delivered in parts is not held as a whole, so its length is not limited.
+HttpMessageLimits streamLimits(HttpMessageLimits limits)
+{
+    limits.bodyBytes = std::numeric_limits<std::size_t>::max();
+    return limits;
+}
+
 /// The timeout parameter of a Keep-Alive header.
 std::optional<std::chrono::seconds> keepAliveSeconds(std::string_view value)
 {
@@ -109,6 +117,9 @@
     }
     m_receivedAt.reset();
     m_reader.reset();
+    m_reader.setLimits(m_call.stream ? streamLimits(m_shared->response) : m_shared->response);
+    m_isStreaming = false;
+    m_streamCredit = m_call.stream ? static_cast<std::ptrdiff_t>(m_call.stream->initialCredit) : 0;
     m_isHeadRequest = m_call.request.method == "HEAD";
     if (m_isHeadRequest) {
         m_reader.expectNoBody();
@@ -158,7 +169,7 @@
 
 void PooledConnection::waitReadable()
 {
-    if (m_isReadPending || m_state == State::Closed) {
+    if (m_isReadPending || m_state == State::Closed || (m_isStreaming && m_streamCredit <= 0)) {
         return;
     }
     m_isReadPending = true;
@@ -174,7 +185,7 @@
 {
     const std::shared_ptr<PooledConnection> keep = shared_from_this();
     for (unsigned reads = 0; m_state != State::Closed; ++reads) {
-        if (reads == MaxReadsInARow) {
+        if (reads == MaxReadsInARow || (m_isStreaming && m_streamCredit <= 0)) {
             waitReadable();
             return;
         }
@@ -214,12 +225,50 @@
             return;
         }
         if (!m_reader.isComplete()) {
+            deliverParts();
             return;
         }
         onResponseComplete();
     }
 }
 
+void PooledConnection::deliverParts()
+{
+    if (!m_call.stream || !m_reader.hasHeaders() || (!m_isStreaming && !beginsStream())) {
+        return;
+    }
+    if (m_reader.bodyBytes() > 0) {
+        std::string bytes = m_reader.takeBodyPart();
+        m_streamCredit -= static_cast<std::ptrdiff_t>(bytes.size());
+        m_call.stream->part(std::move(bytes));
+    }
+}
+
+bool PooledConnection::beginsStream()
+{
+    const bool isLong = m_reader.bodyBytes() > StreamThresholdBytes || m_reader.bodyLength().value_or(0) > StreamThresholdBytes;
+    if (!isLong || m_reader.status() < FirstFinalStatus) {
+        return false;
+    }
+    HttpResponse head{.status = m_reader.status(), .headers = m_reader.headers(), .body = {}};
+    const bool isOther = (m_call.isAnswer && !m_call.isAnswer(head)) || (m_hasCarriedCall && m_call.isAmbiguous && m_call.isAmbiguous(head));
+    if (isOther) {
+        fail(Reason::BodyIncomplete, "long response that does not answer the request");
+        return false;
+    }
+    m_isStreaming = true;
+    m_call.stream->began(std::move(head), m_reader.bodyLength());
+    return m_isStreaming;
+}
+
+void PooledConnection::grant(std::size_t bytes)
+{
+    m_streamCredit += static_cast<std::ptrdiff_t>(bytes);
+    if (m_isStreaming) {
+        waitReadable();
+    }
+}
+
 void PooledConnection::onEndOfInput(const std::error_code &ec)
 {
     if (m_state == State::Busy && m_reader.hasBegun()) {
@@ -293,6 +342,7 @@
 
 void PooledConnection::finishCall(HttpResult result)
 {
+    m_isStreaming = false;
     if (std::exchange(m_hasCall, false)) {
         m_call = PoolCall{};
         m_shared->onCallEnded(shared_from_this(), m_callId, std::move(result));
@@ -302,6 +352,7 @@
 void PooledConnection::abandon()
 {
     m_hasCall = false;
+    m_isStreaming = false;
     close();
 }
 
--- a/src/edge/pooledconnection.h
+++ b/src/edge/pooledconnection.h
@@ -46,7 +46,14 @@
     /// Closes the connection and fails the call in flight, if any, with @p reason.
     void fail(Reason reason, const std::string &detail);
     void close();
+    /// Permits @p bytes more of a body that is delivered in parts to be read.
+    void grant(std::size_t bytes);
 
+    /// Whether the response to the call in flight is being delivered in parts.
+    [[nodiscard]] bool isStreaming() const
+    {
+        return m_isStreaming;
+    }
     /// How long the connection may be idle and still be reused.
     [[nodiscard]] Duration idleTimeout() const
     {
@@ -83,6 +90,10 @@
     void receive(std::string_view bytes);
     void onEndOfInput(const std::error_code &ec);
     void onResponseComplete();
+    /// Delivers the body bytes received so far if the response is delivered in parts.
+    void deliverParts();
+    /// Whether the response whose head has arrived belongs to the call in flight, and its body is long. Fails the call if such a body can't be skipped.
+    [[nodiscard]] bool beginsStream();
     void finishCall(HttpResult result);
     void updateIdleTimeout(const HttpResponse &response);
 
@@ -104,6 +115,9 @@
     std::optional<TimePoint> m_receivedAt;
     bool m_hasCarriedCall = false;
     unsigned m_skippedResponses = 0;
+    bool m_isStreaming = false;
+    /// Body bytes that may still be read; negative if one read returned more.
+    std::ptrdiff_t m_streamCredit = 0;
     /// Hashes of repeat ids, oldest first; bounded.
     std::deque<std::size_t> m_repeatIds;
 };
--- a/src/edge/test/edgeserver_test.cpp
+++ b/src/edge/test/edgeserver_test.cpp
@@ -4,6 +4,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <memory>
+#include <optional>
 #include <vector>
 
 using namespace banyankeel;
@@ -181,4 +182,58 @@
     BOOST_CHECK((statusesIn(answers) == std::vector<std::string>{"200"}));
 }
 
+BOOST_AUTO_TEST_CASE(ABodyInPartsIsFramedByItsLengthOrInChunks)
+{
+    for (const std::optional<std::uint64_t> length : {std::optional<std::uint64_t>(6), std::optional<std::uint64_t>()}) {
+        EdgeServerFixture server;
+        RawConnection connection(server.endpoint);
+        connection.write("GET /wait HTTP/1.1\r\nHost: a\r\n\r\n");
+        const HttpResponder respond = server.takeResponder();
+        server.runOnServer([&](EdgeServer &) {
+            const ResponseBody body = respond.begin({.status = 200, .headers = {}, .body = {}}, length, {});
+            body.write("abc");
+            body.write("def");
+            body.finish();
+        });
+        connection.write("POST / HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: 4\r\n\r\nnext");
+        const std::string answers = connection.readToEnd();
+        BOOST_CHECK(answers.find(length ? "Content-Length: 6\r\n\r\nabcdefHTTP/1.1 200" : "chunked\r\n\r\n3\r\nabc\r\n3\r\ndef\r\n0\r\n\r\nHTTP/1.1 200")
+                    != std::string::npos);
+        BOOST_CHECK(answers.ends_with("next"));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(ABodyThatBreaksOffDoesNotLookWhole)
+{
+    for (const std::string version : {"1.1", "1.0"}) {
+        EdgeServerFixture server;
+        RawConnection connection(server.endpoint);
+        connection.write("GET /wait HTTP/" + version + "\r\nHost: a\r\n\r\n");
+        const HttpResponder respond = server.takeResponder();
+        server.runOnServer([&](EdgeServer &) {
+            const ResponseBody body = respond.begin({.status = 200, .headers = {}, .body = {}}, std::nullopt, {});
+            body.write("abc");
+            body.abort();
+        });
+        BOOST_CHECK(connection.endsWithReset());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(AClientThatLeavesInTheMiddleOfABodyIsReported)
+{
+    EdgeServerFixture server;
+    RawConnection connection(server.endpoint);
+    connection.write("GET /wait HTTP/1.1\r\nHost: a\r\n\r\n");
+    const HttpResponder respond = server.takeResponder();
+    std::promise<void> left;
+    server.runOnServer([&](EdgeServer &) {
+        const ResponseBody body =
+            respond.begin({.status = 200, .headers = {}, .body = {}}, 1'000'000, {.drained = nullptr, .clientLeft = [&] { left.set_value(); }});
+        body.write("abc");
+    });
+    connection.readUntil("abc");
+    connection.close();
+    left.get_future().wait();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/edge/test/httpconnectionpool_test.cpp
+++ b/src/edge/test/httpconnectionpool_test.cpp
@@ -5,6 +5,7 @@
 
 #include <memory>
 #include <optional>
+#include <thread>
 #include <vector>
 
 using namespace banyankeel;
@@ -49,6 +50,29 @@
         });
         return result;
     }
+    /// Sends a call that takes its response in parts. @param parts receives them; used on the pool's thread.
+    std::future<HttpResult> sendStreaming(const std::string &id, std::shared_ptr<std::string> parts, std::size_t credit)
+    {
+        auto promise = std::make_shared<std::promise<HttpResult>>();
+        std::future<HttpResult> result = promise->get_future();
+        m_lastCallId = m_ioThread.run([&] {
+            PoolCall call{.request = {.method = "GET", .target = "/" + id, .headers = {{"Host", "a"}}, .body = {}}, .timeLimit = HangTimeout};
+            call.stream = ResponseStream{.began = [](const HttpResponse &, std::optional<std::uint64_t>) {},
+                                         .part = [parts](const std::string &bytes) { *parts += bytes; },
+                                         .initialCredit = credit};
+            return m_pool->send(std::move(call), [promise](HttpResult it) { promise->set_value(std::move(it)); });
+        });
+        return result;
+    }
+    void grant(std::size_t bytes)
+    {
+        m_ioThread.run([&] { m_pool->grant(m_lastCallId, bytes); });
+    }
+    template<typename Function>
+    auto run(Function function)
+    {
+        return m_ioThread.run(std::move(function));
+    }
     void cancelLast()
     {
         m_ioThread.run([this] { m_pool->cancel(m_lastCallId); });
@@ -152,6 +176,69 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(AResponseThatEndsAnywhereBeforeItsEndIsNotDelivered)
+{
+    for (const std::string &whole : {OkHead + "Content-Length: 3\r\n\r\nabc",
+                                     OkHead + "Content-Length: 0\r\n\r\n",
+                                     OkHead + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+                                     "HTTP/1.1 100 Continue\r\n\r\n" + OkHead + "Content-Length: 0\r\n\r\n"}) {
+        for (std::size_t n = 0; n < whole.size(); ++n) {
+            BOOST_TEST_CONTEXT(whole.substr(0, n))
+            {
+                PoolFixture pool;
+                std::future<HttpResult> result = pool.send("1");
+                const std::unique_ptr<RawConnection> server = pool.accept();
+                server->readUntil("\r\n\r\n");
+                server->write(whole.substr(0, n));
+                server->close();
+                const HttpResult found = result.get();
+                BOOST_CHECK(!found.response);
+                BOOST_CHECK(found.runState == RunState::MayHaveRun);
+            }
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(ALongResponseIsReadNoFasterThanItIsPassedOn)
+{
+    constexpr std::size_t Credit = std::size_t{128} * 1024;
+    // More than the buffers of both sockets hold, so that the server can't write all of it at once.
+    const std::string body(std::size_t{64} * 1024 * 1024, 'x');
+    PoolFixture pool;
+    const auto parts = std::make_shared<std::string>();
+    std::future<HttpResult> result = pool.sendStreaming("1", parts, Credit);
+    const std::unique_ptr<RawConnection> server = pool.accept();
+    server->readUntil("\r\n\r\n");
+    std::thread writer([&] { server->write("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body); });
+    const auto received = [&] { return pool.run([&] { return parts->size(); }); };
+    while (received() < Credit) {
+        std::this_thread::sleep_for(1ms);
+    }
+    // One read may exceed the credit.
+    constexpr std::size_t ReadBytes = std::size_t{32} * 1024;
+    BOOST_CHECK_LE(received(), Credit + ReadBytes);
+    pool.grant(body.size());
+    const HttpResult found = result.get();
+    writer.join();
+    BOOST_REQUIRE(found.response);
+    BOOST_CHECK(*parts + found.response->body == body);
+}
+
+BOOST_AUTO_TEST_CASE(ALongResponseThatBreaksOffFailsItsCall)
+{
+    PoolFixture pool;
+    const auto parts = std::make_shared<std::string>();
+    std::future<HttpResult> result = pool.sendStreaming("1", parts, StreamThresholdBytes * 4);
+    const std::unique_ptr<RawConnection> server = pool.accept();
+    server->readUntil("\r\n\r\n");
+    server->write("HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n" + std::string(StreamThresholdBytes, 'x'));
+    server->close();
+    const HttpResult found = result.get();
+    BOOST_CHECK(!found.response);
+    BOOST_CHECK(found.runState == RunState::MayHaveRun);
+    BOOST_CHECK(found.reason == Reason::BodyIncomplete);
+}
+
 BOOST_AUTO_TEST_CASE(DuplicateResponseIsNotDeliveredToTheNextCall)
 {
     PoolFixture pool;
--- a/src/edge/test/iocontextthread.h
+++ b/src/edge/test/iocontextthread.h
@@ -112,6 +112,16 @@
         while (readSome()) { }
         return std::exchange(m_read, {});
     }
+    /// Reads until the connection ends. Returns whether the peer reset it rather than closing it in an orderly way.
+    bool endsWithReset()
+    {
+        std::array<char, 4096> buf{};
+        std::error_code ec;
+        while (!ec) {
+            m_socket.read_some(asio::buffer(buf), ec);
+        }
+        return ec == asio::error::connection_reset;
+    }
     void reset()
     {
         m_socket.set_option(asio::socket_base::linger(true, 0));
--- a/src/mesh/entryrequest.h
+++ b/src/mesh/entryrequest.h
@@ -39,8 +39,12 @@
     double inheritedRetryShare = 0;
     /// At least one attempt may have run.
     bool mayHaveRun = false;
-    /// The caller has disconnected or has received its response.
+    /// The caller has disconnected or has received its response, or the head of it.
     bool isFinished = false;
+    /// Set while parts of the response's body are passed on.
+    std::optional<ResponseBody> body = std::nullopt;
+    int status = 0;
+    std::uint64_t bodyBytes = 0;
 };
 
 } // namespace banyankeel
--- a/src/mesh/meshentry.cpp
+++ b/src/mesh/meshentry.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <charconv>
 #include <cmath>
+#include <functional>
 #include <utility>
 #include <vector>
 
@@ -24,6 +25,8 @@
 
 // The target's node reports expired requests itself; its answer may arrive this long after the deadline.
 constexpr Duration AnswerGrace = std::chrono::milliseconds(40);
+// A body in parts may go on for this long after the deadline: longer than the target's node reads one.
+constexpr Duration MaxBodyExtension = std::chrono::seconds(11);
 // Retry-After for a request that was not run and whose verdict gives no time, such as one without a configuration or a target.
 constexpr Duration DefaultRetryAfter = std::chrono::milliseconds(500);
 // Shares of the configured retry ratio and slack that a node uses. Retries of requests that may have run get a smaller share of the ratio, because a
@@ -264,7 +267,7 @@
         .priority = call.context.priority,
         .root = call.context.root,
         .organisation = call.context.organisation,
-        .bytes = call.http.body.size(),
+        .bytes = call.http.body.size() + m_responseSizes.expected(requestKindOf(call.route)),
         .exclude = request->triedNodes,
         .ignoreHints = !request->isRoot,
     };
@@ -294,7 +297,7 @@
     m_deadlines.emplace(request->deadline + AnswerGrace, id);
     m_hooks.scheduleExpiry(m_deadlines.begin()->first);
     if (choice.peer.endpoint == m_settings.self) {
-        m_hooks.runLocally(request->call, [this](CallAnswer answer) { handleAnswer(std::move(answer)); });
+        m_hooks.runLocally(request->call);
         return;
     }
     if (!m_hooks.send(choice.peer.endpoint, request->call.encode())) {
@@ -311,12 +314,17 @@
     }
     RequestPointer request = std::move(found->second);
     m_requests.erase(found);
-    const auto [first, last] = m_deadlines.equal_range(request->deadline + AnswerGrace);
+    removeDeadline(request->deadline + AnswerGrace, attempt);
+    return request;
+}
+
+void MeshEntry::removeDeadline(TimePoint time, AttemptId attempt)
+{
+    const auto [first, last] = m_deadlines.equal_range(time);
     const auto deadline = std::find_if(first, last, [attempt](const auto &it) { return it.second == attempt; });
     if (deadline != last) {
         m_deadlines.erase(deadline);
     }
-    return request;
 }
 
 void MeshEntry::handleAnswer(CallAnswer answer)
@@ -342,14 +350,28 @@
             attemptEnded(request, mayHaveArrived ? Verdict::unknown(Reason::ConnectionLost) : Verdict::refused(Reason::ConnectionLost), nullptr);
         }
     }
+    std::vector<AttemptId> broken;
+    for (const auto &[attempt, request] : m_bodies) {
+        if (request->choice->peer.endpoint == peer) {
+            broken.push_back(attempt);
+        }
+    }
+    for (const AttemptId it : broken) {
+        endBody(it, Verdict::unknown(Reason::ConnectionLost));
+    }
 }
 
 void MeshEntry::expireRequests()
 {
     const TimePoint now = m_hooks.now();
     while (!m_deadlines.empty() && m_deadlines.begin()->first <= now) {
-        const RequestPointer request = removeAttempt(m_deadlines.begin()->second);
-        cancelAttempt(*request);
+        const AttemptId attempt = m_deadlines.begin()->second;
+        if (m_bodies.contains(attempt)) {
+            cancelBody(attempt, Reason::DeadlineExpired);
+            continue;
+        }
+        const RequestPointer request = removeAttempt(attempt);
+        cancelAttempt(request->choice->peer.endpoint, request->call.attempt);
         attemptEnded(request, Verdict::unknown(Reason::DeadlineExpired), nullptr);
     }
     if (!m_deadlines.empty()) {
@@ -357,6 +379,38 @@
     }
 }
 
+void MeshEntry::handleUnsent(AttemptId attempt)
+{
+    if (const RequestPointer request = removeAttempt(attempt)) {
+        attemptEnded(request, Verdict::refused(Reason::ConnectionLost), nullptr);
+    }
+}
+
+void MeshEntry::endAll()
+{
+    while (!m_bodies.empty()) {
+        cancelBody(m_bodies.begin()->first, Reason::Draining);
+    }
+    while (!m_requests.empty()) {
+        const RequestPointer request = removeAttempt(m_requests.begin()->first);
+        cancelAttempt(request->choice->peer.endpoint, request->call.attempt);
+        attemptEnded(request, Verdict::unknown(Reason::Draining), nullptr);
+    }
+}
+
+std::vector<PendingRequest> MeshEntry::pending() const
+{
+    const TimePoint now = m_hooks.now();
+    std::vector<PendingRequest> found;
+    for (const auto &[waitsFor, requests] : {std::pair("answer", &m_requests), std::pair("body", &m_bodies)}) {
+        for (const auto &[attempt, request] : *requests) {
+            found.push_back({request->requestId, request->route->name.text(), waitsFor, request->choice->peer.node.text(), now - request->received});
+        }
+    }
+    std::ranges::sort(found, std::greater(), &PendingRequest::age);
+    return found;
+}
+
 void MeshEntry::beginShutdown(TimePoint lastArrival, TimePoint end)
 {
     m_shutdown = Shutdown{lastArrival, end};
@@ -369,21 +423,95 @@
     }
     request->isFinished = true;
     if (removeAttempt(request->call.attempt)) {
-        cancelAttempt(*request);
+        cancelAttempt(request->choice->peer.endpoint, request->call.attempt);
         attemptEnded(request, Verdict::unknown(Reason::Cancelled), nullptr);
     }
 }
 
-void MeshEntry::cancelAttempt(const EntryRequest &request)
+void MeshEntry::cancelAttempt(const Endpoint &target, AttemptId attempt)
 {
-    if (request.choice->peer.endpoint == m_settings.self) {
-        m_hooks.cancelLocally(request.call.attempt);
+    if (target == m_settings.self) {
+        m_hooks.cancelLocally(attempt);
     } else {
         // If the message can't be sent, the connection is lost and the other node cancels the attempt itself.
-        m_hooks.send(request.choice->peer.endpoint, CallCancel{request.call.attempt}.encode());
+        m_hooks.send(target, CallCancel{attempt}.encode());
+    }
+}
+
+void MeshEntry::beginBody(const RequestPointer &request, CallAnswer answer)
+{
+    const AttemptId attempt = answer.attempt;
+    HttpResponse head = std::move(*answer.response);
+    request->isFinished = true;
+    request->status = head.status;
+    m_bodies.emplace(attempt, request);
+    m_deadlines.emplace(request->deadline + MaxBodyExtension, attempt);
+    m_hooks.scheduleExpiry(m_deadlines.begin()->first);
+    request->body = request->respond.begin(std::move(head),
+                                           answer.following->length,
+                                           {.drained = [this, attempt](std::size_t bytes) { sendBodyCredit(attempt, bytes); },
+                                            .clientLeft = [this, attempt] { cancelBody(attempt, Reason::Cancelled); }});
+}
+
+void MeshEntry::cancelBody(AttemptId attempt, Reason reason)
+{
+    const auto found = m_bodies.find(attempt);
+    if (found != m_bodies.end()) {
+        cancelAttempt(found->second->choice->peer.endpoint, attempt);
+        endBody(attempt, Verdict::unknown(reason));
+    }
+}
+
+void MeshEntry::handleBodyPart(CallBodyPart part)
+{
+    const auto found = m_bodies.find(part.attempt);
+    if (found == m_bodies.end()) {
+        return;
+    }
+    const RequestPointer request = found->second;
+    request->bodyBytes += part.bytes.size();
+    if (!part.bytes.empty()) {
+        // The caller may be found to have left, which ends the request.
+        request->body->write(std::move(part.bytes));
+    }
+    if (part.progress != BodyProgress::More) {
+        endBody(part.attempt, part.progress == BodyProgress::Complete ? Verdict::ran() : Verdict::unknown(Reason::BodyIncomplete));
     }
 }
 
+void MeshEntry::sendBodyCredit(AttemptId attempt, std::size_t bytes)
+{
+    const auto found = m_bodies.find(attempt);
+    if (found == m_bodies.end()) {
+        return;
+    }
+    const CallBodyCredit credit{attempt, static_cast<std::uint32_t>(bytes)};
+    const Endpoint &target = found->second->choice->peer.endpoint;
+    if (target == m_settings.self) {
+        m_hooks.creditLocally(credit);
+    } else {
+        m_hooks.send(target, credit.encode());
+    }
+}
+
+void MeshEntry::endBody(AttemptId attempt, const Verdict &verdict)
+{
+    const auto found = m_bodies.find(attempt);
+    if (found == m_bodies.end()) {
+        return;
+    }
+    const RequestPointer request = found->second;
+    m_bodies.erase(found);
+    removeDeadline(request->deadline + MaxBodyExtension, attempt);
+    if (verdict.isSuccess()) {
+        m_responseSizes.record(requestKindOf(request->call.route), request->bodyBytes);
+        request->body->finish();
+    } else {
+        request->body->abort();
+    }
+    m_hooks.ended({request->requestId, request.get(), verdict, request->status, m_hooks.now() - request->received});
+}
+
 void MeshEntry::attemptEnded(const RequestPointer &request, const Verdict &verdict, CallAnswer *answer)
 {
     const TimePoint now = m_hooks.now();
@@ -397,7 +525,11 @@
     };
     m_router.recordAttemptEnd(*request->choice, outcome, answer == nullptr ? std::nullopt : std::optional(answer->hint), now);
     request->mayHaveRun = request->mayHaveRun || verdict.runState() != RunState::NotRun;
+    const Endpoint target = request->choice->peer.endpoint;
     if (retry(request, chooseRetry(*request, verdict, answer, now))) {
+        if (answer != nullptr && answer->following) {
+            cancelAttempt(target, answer->attempt);
+        }
         return;
     }
     const bool mayHaveRunEarlier = request->mayHaveRun && verdict.runState() == RunState::NotRun;
@@ -435,7 +567,7 @@
         ++request.nodeRefusals;
         request.overloadRefusals = static_cast<std::uint16_t>(request.overloadRefusals + (verdict.reason() == Reason::Overloaded ? 1 : 0));
     }
-    if (request.isFinished) {
+    if (request.isFinished || m_retriesStopped) {
         return RetryKind::None;
     }
     const bool hasResponse = answer != nullptr && answer->response.has_value();
@@ -462,8 +594,15 @@
     if (verdict.runState() == RunState::NotRun && !verdict.retryAfter()) {
         verdict = Verdict::refused(verdict.reason(), DefaultRetryAfter);
     }
-    request->isFinished = true;
     const bool hasResponse = answer != nullptr && answer->response.has_value();
+    if (hasResponse && answer->following) {
+        beginBody(request, std::move(*answer));
+        return;
+    }
+    request->isFinished = true;
+    if (hasResponse) {
+        m_responseSizes.record(requestKindOf(request->call.route), answer->response->body.size());
+    }
     HttpResponse response = hasResponse ? std::move(*answer->response) : refusalResponse(m_headers, verdict, request->requestId);
     m_hooks.ended({request->requestId, request.get(), verdict, response.status, now - request->received});
     request->respond(std::move(response));
--- a/src/mesh/meshentry.h
+++ b/src/mesh/meshentry.h
@@ -10,8 +10,10 @@
 #include "coordination/demand/loadmeter.h"
 #include "coordination/demand/rootadmission.h"
 #include "coordination/retrybudget/serviceretrybudget.h"
+#include "coordination/routing/responsesizes.h"
 #include "coordination/routing/targetrouter.h"
 #include "mesh/entryrequest.h"
+#include "mesh/pendingrequest.h"
 #include "mesh/retrydecision.h"
 #include "mesh/trafficsplitter.h"
 #include "protocol/callmessages.h"
@@ -28,7 +30,9 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <unordered_map>
+#include <vector>
 
 namespace banyankeel
 {
@@ -59,9 +63,11 @@
     std::function<MeshConfigurationPointer()> configuration;
     /// Returns false if the message can't be sent.
     std::function<bool(const Endpoint &to, Envelope message)> send;
-    /// Runs a request on this host's target.
-    std::function<void(CallRequest request, std::function<void(CallAnswer)> reply)> runLocally;
+    /// Runs a request on this host's target; its answer comes by handleAnswer() and handleBodyPart().
+    std::function<void(CallRequest request)> runLocally;
     std::function<void(AttemptId attempt)> cancelLocally;
+    /// Passes on a credit for a body that this host's target sends.
+    std::function<void(const CallBodyCredit &credit)> creditLocally;
     /// Schedules a call of expireRequests() at that time or shortly after.
     std::function<void(TimePoint time)> scheduleExpiry;
     /// Number of nodes in the fleet, including this one.
@@ -89,19 +95,31 @@
 
     void handleRequest(HttpRequest request, const HttpResponder &respond);
     void handleAnswer(CallAnswer answer);
+    void handleBodyPart(CallBodyPart part);
+    /// The request of @p attempt has not left this node and will not.
+    void handleUnsent(AttemptId attempt);
     /// Handles the loss of the connection to @p peer. @param mayHaveArrived whether requests sent there may have run.
     void handlePeerLost(const Endpoint &peer, bool mayHaveArrived);
     /// Ends requests whose deadline has passed.
     void expireRequests();
     /// The process exits at @p end. Requests that arrive after @p lastArrival are accepted only if their deadline is no later than @p end.
     void beginShutdown(TimePoint lastArrival, TimePoint end);
+    /// From now on the outcome of an attempt is that of its request.
+    void stopRetries()
+    {
+        m_retriesStopped = true;
+    }
+    /// Ends all requests under way.
+    void endAll();
+    /// The requests under way, oldest first, for logs.
+    [[nodiscard]] std::vector<PendingRequest> pending() const;
 
     /// Retries that this node may still send to @p service.
     [[nodiscard]] double retriesLeft(const ServiceName &service);
 
     [[nodiscard]] bool isBusy() const
     {
-        return !m_requests.empty();
+        return !m_requests.empty() || !m_bodies.empty();
     }
     [[nodiscard]] std::size_t requestCount() const
     {
@@ -146,8 +164,15 @@
     void finish(const RequestPointer &request, Verdict verdict, CallAnswer *answer);
     void refuse(const HttpResponder &respond, const std::string &requestId, const Verdict &verdict, TimePoint received);
     void handleCallerDisconnect(const RequestPointer &request);
-    void cancelAttempt(const EntryRequest &request);
+    void cancelAttempt(const Endpoint &target, AttemptId attempt);
+    /// Passes the head of a response on, whose body follows in parts.
+    void beginBody(const RequestPointer &request, CallAnswer answer);
+    void cancelBody(AttemptId attempt, Reason reason);
+    void sendBodyCredit(AttemptId attempt, std::size_t bytes);
+    /// Ends a response in parts. @param verdict of the request as a whole.
+    void endBody(AttemptId attempt, const Verdict &verdict);
     RequestPointer removeAttempt(AttemptId attempt);
+    void removeDeadline(TimePoint time, AttemptId attempt);
     RetryBudgets &budgetsFor(const ServiceName &service);
 
     MeshEntrySettings m_settings;
@@ -160,9 +185,13 @@
     TrafficSplitter m_splitter;
     std::unordered_map<ServiceName, RetryBudgets> m_budgets;
     std::unordered_map<AttemptId, RequestPointer> m_requests;
+    /// Requests whose response's body is being passed on in parts.
+    std::unordered_map<AttemptId, RequestPointer> m_bodies;
+    ResponseSizes m_responseSizes;
     std::multimap<TimePoint, AttemptId> m_deadlines;
     std::uint64_t m_lastAttempt = 0;
     std::optional<Shutdown> m_shutdown;
+    bool m_retriesStopped = false;
 };
 
 } // namespace banyankeel
--- a/src/mesh/meshnode.cpp
+++ b/src/mesh/meshnode.cpp
@@ -30,6 +30,9 @@
 constexpr Duration TargetDrainTime = 900ms;
 // Remaining part of the grace period when requests in progress are abandoned.
 constexpr Duration ShutdownReserve = 400ms;
+// What is abandoned gets its answer written within this time.
+constexpr Duration FlushTime = 150ms;
+constexpr std::size_t MaxRemainingLines = 20;
 constexpr std::uint32_t RequestLinesPerSecond = 20;
 constexpr int FirstErrorStatus = 400;
 constexpr std::size_t ReservedDescriptors = 400;
@@ -116,9 +119,17 @@
         .now = bootTime,
         .configuration = [this] { return m_feed.current(); },
         .send = [this](const Endpoint &to, Envelope message) { return m_network && m_network->send(to, std::move(message)) == SendResult::Queued; },
-        .runLocally = [this](CallRequest request,
-                             std::function<void(CallAnswer)> reply) { m_target.handleRequest(m_settings.peers, std::move(request), std::move(reply)); },
+        .runLocally =
+            [this](CallRequest request) {
+                m_target.handleRequest(m_settings.peers,
+                                       std::move(request),
+                                       {
+                                           .answer = [this](CallAnswer answer) { m_entry.handleAnswer(std::move(answer)); },
+                                           .bodyPart = [this](CallBodyPart part) { m_entry.handleBodyPart(std::move(part)); },
+                                       });
+            },
         .cancelLocally = [this](AttemptId attempt) { m_target.handleCancel(m_settings.peers, attempt); },
+        .creditLocally = [this](const CallBodyCredit &credit) { m_target.handleBodyCredit(m_settings.peers, credit); },
         .scheduleExpiry = [this](TimePoint time) { wakeEntryAt(time); },
         .nodeCount = [this] { return m_peers.size() + 1; },
         .ended = [this](const EntryOutcome &outcome) { recordRequestEnd(outcome); },
@@ -323,6 +334,7 @@
         {"banyankeel_known_peers", static_cast<double>(m_peers.size())},
         {"banyankeel_reachable_peers", static_cast<double>(reachable)},
         {"banyankeel_requests_under_way", static_cast<double>(m_entry.requestCount())},
+        {"banyankeel_caller_buffered_bytes", static_cast<double>(m_callers.bufferedBytes())},
         {"banyankeel_admission_load", static_cast<double>(m_target.attemptCount())},
         {"banyankeel_admission_limit", static_cast<double>(m_target.slots())},
         {"banyankeel_log_lines_left_out_total", static_cast<double>(m_droppedLogLines)},
@@ -365,16 +377,66 @@
     if (age >= CallerNoticeTime) {
         m_callers.startDraining();
     }
-    if ((age >= CallerNoticeTime && isIdle) || age >= m_settings.gracePeriod - ShutdownReserve) {
-        logEvent(isIdle ? LogLevel::Info : LogLevel::Warning, "stopped", {{"drained", isIdle ? "yes" : "no"}});
-        m_feed.stop();
-        m_callers.stopListening();
-        m_stopped();
+    if (age >= CallerNoticeTime && isIdle) {
+        finishShutdown();
+        return;
+    }
+    if (age >= m_settings.gracePeriod - ShutdownReserve && !m_hasEndedRemaining) {
+        endRemaining();
+    }
+    if (age >= m_settings.gracePeriod - ShutdownReserve + FlushTime) {
+        finishShutdown();
         return;
     }
     runAfter(ShutdownTick, [this] { checkShutdown(); });
 }
 
+void MeshNode::Impl::endRemaining()
+{
+    m_hasEndedRemaining = true;
+    logRemaining();
+    m_callers.stopListening();
+    // What waits at the own target is known not to have run.
+    m_entry.stopRetries();
+    m_target.endAll();
+    m_entry.endAll();
+}
+
+void MeshNode::Impl::finishShutdown()
+{
+    logEvent(m_hasEndedRemaining ? LogLevel::Warning : LogLevel::Info, "stopped", {{"drained", m_hasEndedRemaining ? "no" : "yes"}});
+    m_feed.stop();
+    m_callers.stopListening();
+    m_stopped();
+}
+
+void MeshNode::Impl::logRemaining() const
+{
+    const std::vector<PendingRequest> requests = m_entry.pending();
+    const std::vector<PendingRequest> attempts = m_target.pending();
+    const EdgeBusyCounts connections = m_callers.busyCounts();
+    logEvent(LogLevel::Warning,
+             "grace-period-over",
+             {{"requests", std::to_string(requests.size())},
+              {"attempts", std::to_string(attempts.size())},
+              {"connections-reading", std::to_string(connections.reading)},
+              {"connections-handling", std::to_string(connections.handling)},
+              {"connections-writing", std::to_string(connections.writing)}});
+    for (const auto &[kind, pending] : {std::pair("request", &requests), std::pair("attempt", &attempts)}) {
+        for (std::size_t n = 0; n < std::min(pending->size(), MaxRemainingLines); ++n) {
+            const PendingRequest &it = (*pending)[n];
+            logEvent(LogLevel::Warning,
+                     "still-under-way",
+                     {{"kind", kind},
+                      {"id", it.requestId},
+                      {"route", it.route},
+                      {"waits-for", std::string(it.waitsFor)},
+                      {"node", it.node},
+                      {"age-ms", formatMilliseconds(it.age)}});
+        }
+    }
+}
+
 void MeshNode::Impl::reload(const MeshSettings &settings)
 {
     for (const std::string &it : changedSettings(m_settings, settings)) {
--- a/src/mesh/meshnode_fleet.cpp
+++ b/src/mesh/meshnode_fleet.cpp
@@ -143,6 +143,7 @@
                                                       [](const std::string &remote, const std::string &problem) {
                                                           logEvent(LogLevel::Warning, "connection-refused", {{"remote", remote}, {"detail", problem}});
                                                       },
+                                                  .unsent = [this](const Endpoint &, const Envelope &message) { handleUnsent(message); },
                                               });
     m_network->start();
     logEvent(LogLevel::Info, "joined", {{"incarnation", std::to_string(static_cast<std::uint64_t>(m_self->incarnation))}});
@@ -207,14 +208,23 @@
     }
     switch (envelope.type) {
     case MessageType::CallRequest:
-        m_target.handleRequest(from.endpoint, CallRequest::decode(envelope), [this, to = from.endpoint](const CallAnswer &answer) {
-            // If the connection is lost, the answer is too; the other node notices the loss.
-            m_network->send(to, answer.encode());
-        });
+        // If the connection is lost, the answer is too; the other node notices the loss.
+        m_target.handleRequest(from.endpoint,
+                               CallRequest::decode(envelope),
+                               {
+                                   .answer = [this, to = from.endpoint](const CallAnswer &answer) { m_network->send(to, answer.encode()); },
+                                   .bodyPart = [this, to = from.endpoint](const CallBodyPart &part) { sendBodyPart(to, part); },
+                               });
         return;
     case MessageType::CallAnswer:
         m_entry.handleAnswer(CallAnswer::decode(envelope));
         return;
+    case MessageType::CallBodyPart:
+        m_entry.handleBodyPart(CallBodyPart::decode(envelope));
+        return;
+    case MessageType::CallBodyCredit:
+        m_target.handleBodyCredit(from.endpoint, CallBodyCredit::decode(envelope));
+        return;
     case MessageType::CallCancel:
         m_target.handleCancel(from.endpoint, CallCancel::decode(envelope).attempt);
         return;
@@ -237,6 +247,17 @@
     }
 }
 
+void MeshNode::Impl::sendBodyPart(const Endpoint &to, const CallBodyPart &part)
+{
+    // Without this part the body can't be whole. Posted, because this runs inside a call of the target.
+    if (m_network->send(to, part.encode()) != SendResult::Queued && part.progress == BodyProgress::More) {
+        asio::post(m_context, [this, to, attempt = part.attempt] {
+            m_target.handleCancel(to, attempt);
+            m_network->send(to, CallBodyPart{attempt, {}, BodyProgress::Broken}.encode());
+        });
+    }
+}
+
 void MeshNode::Impl::handleNodeReport(const Peer &from, const NodeReport &report)
 {
     const TimePoint now = bootTime();
@@ -301,6 +322,13 @@
     }
 }
 
+void MeshNode::Impl::handleUnsent(const Envelope &message)
+{
+    if (message.type == MessageType::CallRequest && !m_isStopped) {
+        m_entry.handleUnsent(CallRequest::decode(message).attempt);
+    }
+}
+
 void MeshNode::Impl::handlePeerLost(const Endpoint &endpoint, bool mayHaveArrived)
 {
     if (KnownPeer *peer = m_peers.find(endpoint)) {
--- a/src/mesh/meshnodeimpl.h
+++ b/src/mesh/meshnodeimpl.h
@@ -73,10 +73,13 @@
     void logRateLimit(const TargetRateLimit &limit, std::string_view source) const;
 
     void handleMessage(const Peer &from, const Envelope &envelope);
+    void sendBodyPart(const Endpoint &to, const CallBodyPart &part);
     void handleNodeReport(const Peer &from, const NodeReport &report);
     /// Asks a peer for a newer configuration if one is known to have it and no other request is outstanding.
     void fetchConfiguration();
     void sendConfiguration(const Peer &to);
+    /// A message whose connection ended before it was written.
+    void handleUnsent(const Envelope &message);
     void handlePeerLost(const Endpoint &endpoint, bool mayHaveArrived);
     void setReachable(KnownPeer &peer, bool isReachable, std::string_view reason);
     /// Sends every peer the full state of this node.
@@ -103,6 +106,10 @@
     void checkPeers(TimePoint now);
     void wakeEntryAt(TimePoint time);
     void checkShutdown();
+    /// Ends whatever is still under way when the grace period is over, so that nobody is left without an answer.
+    void endRemaining();
+    void finishShutdown();
+    void logRemaining() const;
     void recordRequestEnd(const EntryOutcome &outcome);
     void handleMetricsRequest(const HttpRequest &request, const HttpResponder &respond);
     /// Wraps the store so that its calls are timed.
@@ -159,6 +166,7 @@
     bool m_isStopping = false;
     bool m_isStopped = false;
     bool m_hasDrainedTarget = false;
+    bool m_hasEndedRemaining = false;
     TimePoint m_startedAt{};
     TimePoint m_stopAt{};
     std::function<void()> m_stopped;
--- a/src/mesh/meshtarget.cpp
+++ b/src/mesh/meshtarget.cpp
@@ -1,8 +1,9 @@
 #include "mesh/meshtarget.h"
 
-#include "mesh/calloutcome.h"
 #include "state/errors.h"
 
+#include <algorithm>
+#include <functional>
 #include <utility>
 #include <vector>
 
@@ -22,6 +23,14 @@
 // The share of a target's slots that may be in use at once.
 constexpr double UsableSlotShare = 0.94;
 
+// A queued request is refused this long before its deadline, so that its entry node learns in time that it has not run.
+constexpr Duration QueueAnswerTime = std::chrono::milliseconds(30);
+
+TimePoint queueExpiryOf(TimePoint deadline)
+{
+    return deadline - QueueAnswerTime;
+}
+
 /// Leaves some of the announced slots unused, because some targets slow down when nearly all are taken.
 std::uint32_t usableSlots(std::uint32_t slots)
 {
@@ -59,6 +68,7 @@
     , m_hooks(std::move(hooks))
     , m_pool(context, {.server = m_settings.target, .maxConnections = m_settings.connections, .response = {}})
     , m_startTimer(context)
+    , m_expiryTimer(context)
 {
 }
 
@@ -165,6 +175,62 @@
     AdmissionActions actions;
     m_admission->offer(offer, now, actions);
     apply(actions);
+    const auto queued = m_attempts.find(ticket);
+    if (queued != m_attempts.end() && !queued->second.isRunning) {
+        m_queueExpiries.emplace(queueExpiryOf(queued->second.deadline), ticket);
+        scheduleExpiry();
+    }
+}
+
+void MeshTarget::scheduleExpiry()
+{
+    if (m_queueExpiries.empty() || (m_expiryTimerAt && *m_expiryTimerAt <= m_queueExpiries.begin()->first)) {
+        return;
+    }
+    m_expiryTimerAt = m_queueExpiries.begin()->first;
+    m_expiryTimer.expires_after(std::max(Duration::zero(), *m_expiryTimerAt - m_hooks.now()));
+    m_expiryTimer.async_wait([this](const std::error_code &ec) {
+        if (!ec) {
+            m_expiryTimerAt.reset();
+            expireOverdue();
+        }
+    });
+}
+
+void MeshTarget::expireOverdue()
+{
+    const TimePoint now = m_hooks.now();
+    while (!m_queueExpiries.empty() && m_queueExpiries.begin()->first <= now) {
+        const AttemptTicket ticket = m_queueExpiries.begin()->second;
+        m_queueExpiries.erase(m_queueExpiries.begin());
+        AdmissionActions actions;
+        if (m_admission->cancel(ticket, now, actions)) {
+            refuse(m_attempts.at(ticket), Verdict::refused(Reason::DeadlineExpired, RefusalRetryAfter));
+        }
+        apply(actions);
+    }
+    scheduleExpiry();
+}
+
+void MeshTarget::endAll()
+{
+    stopServing();
+    while (!m_attempts.empty()) {
+        const auto it = m_attempts.begin();
+        m_pool.cancel(it->second.call);
+        handleResult(it->first, {std::nullopt, RunState::MayHaveRun, Reason::Draining, "the node stops"});
+    }
+}
+
+std::vector<PendingRequest> MeshTarget::pending() const
+{
+    const TimePoint now = m_hooks.now();
+    std::vector<PendingRequest> found;
+    for (const auto &[ticket, it] : m_attempts) {
+        found.push_back({it.requestId, it.request.route.text(), it.isRunning ? "target" : "slot", {}, now - it.received});
+    }
+    std::ranges::sort(found, std::greater(), &PendingRequest::age);
+    return found;
 }
 
 void MeshTarget::apply(AdmissionActions &actions)
@@ -198,6 +264,7 @@
         apply(actions);
         return;
     }
+    m_queueExpiries.erase({queueExpiryOf(attempt.deadline), ticket});
     beginRun(attempt, now);
     HttpRequest http = std::move(attempt.request.http);
     http.headers.push_back({m_headers.remainingTime, std::to_string(std::chrono::floor<std::chrono::milliseconds>(remaining).count())});
@@ -209,6 +276,12 @@
         .isAnswer = [headers = &m_headers, requestId = attempt.requestId](const HttpResponse &response) { return isResponseTo(*headers, requestId, response); },
         .isAmbiguous = [headers = &m_headers](const HttpResponse &response) { return !findHeader(response.headers, headers->requestId); },
         .repeatId = attempt.requestId,
+        .stream =
+            ResponseStream{
+                .began = [this, ticket](HttpResponse head, std::optional<std::uint64_t> length) { beginStream(ticket, std::move(head), length); },
+                .part = [this, ticket](std::string bytes) { sendBodyPart(ticket, std::move(bytes)); },
+                .initialCredit = InitialBodyCredit,
+            },
     };
     attempt.call = m_pool.send(std::move(call), [this, ticket](HttpResult result) { handleResult(ticket, std::move(result)); });
 }
@@ -224,18 +297,85 @@
     if (isUnreachable) {
         m_unreachableUntil = now + UnreachableBackoff;
     }
+    CallOutcome outcome = takeOutcome(std::move(result));
+    Attempt &attempt = found->second;
+    const Completion completion{now - attempt.started, classifyCompletion(outcome)};
+    endRun(attempt, now, outcome.response.has_value());
+    AdmissionActions actions;
+    m_admission->complete(ticket, completion, now, actions);
+    if (attempt.isStreaming) {
+        const CallAnswer ended{attempt.request.attempt, outcome.verdict, std::nullopt, hintFor(attempt.request, now), 0};
+        m_hooks.ended(attempt.requestId, ended, attempt.started - attempt.received, now - attempt.started);
+        const Reply reply = std::move(attempt.reply);
+        const AttemptId id = attempt.request.attempt;
+        removeAttempt(attempt);
+        const BodyProgress progress = outcome.response ? BodyProgress::Complete : BodyProgress::Broken;
+        reply.bodyPart({id, outcome.response ? std::move(outcome.response->body) : std::string(), progress});
+    } else {
+        sendAnswer(attempt, outcome.verdict, std::move(outcome.response));
+    }
+    apply(actions);
+}
+
+CallOutcome MeshTarget::takeOutcome(HttpResult result)
+{
     const std::optional<TargetNotice> notice = result.response ? std::optional(m_hooks.readNotice(*result.response)) : std::nullopt;
     CallOutcome outcome = classifyResult(m_headers, std::move(result));
     if (notice && isOwnResponse(outcome.verdict)) {
         // Before other requests are started in place of this one.
         m_hooks.noticed(*m_boot, *notice);
     }
-    const Completion completion{now - found->second.started, classifyCompletion(outcome)};
-    endRun(found->second, now, outcome.response.has_value());
-    AdmissionActions actions;
-    m_admission->complete(ticket, completion, now, actions);
-    sendAnswer(found->second, outcome.verdict, std::move(outcome.response));
-    apply(actions);
+    return outcome;
+}
+
+void MeshTarget::beginStream(AttemptTicket ticket, HttpResponse head, std::optional<std::uint64_t> length)
+{
+    const auto found = m_attempts.find(ticket);
+    if (found == m_attempts.end()) {
+        return;
+    }
+    CallOutcome outcome = classifyResult(m_headers, {head, RunState::Ran, Reason::None, {}});
+    if (!outcome.response) {
+        // The body is not wanted, whatever its length.
+        m_pool.cancel(found->second.call);
+        handleResult(ticket, {std::move(head), RunState::Ran, Reason::None, {}});
+        return;
+    }
+    Attempt &attempt = found->second;
+    attempt.isStreaming = true;
+    m_hooks.noticed(*m_boot, m_hooks.readNotice(head));
+    // Copied, because the sender may cancel the attempt from within the call.
+    const auto answer = attempt.reply.answer;
+    answer({
+        .attempt = attempt.request.attempt,
+        .verdict = outcome.verdict,
+        .response = std::move(outcome.response),
+        .hint = hintFor(attempt.request, m_hooks.now()),
+        .retriesSpent = 0,
+        .following = FollowingBody{length},
+    });
+}
+
+void MeshTarget::sendBodyPart(AttemptTicket ticket, std::string bytes)
+{
+    const auto found = m_attempts.find(ticket);
+    if (found != m_attempts.end()) {
+        // Copied, because the sender may cancel the attempt from within the call.
+        const auto bodyPart = found->second.reply.bodyPart;
+        bodyPart({found->second.request.attempt, std::move(bytes), BodyProgress::More});
+    }
+}
+
+void MeshTarget::handleBodyCredit(const Endpoint &sender, const CallBodyCredit &credit)
+{
+    const auto found = m_byKey.find({sender, credit.attempt});
+    if (found == m_byKey.end()) {
+        return;
+    }
+    const Attempt &attempt = m_attempts.at(found->second);
+    if (attempt.isStreaming) {
+        m_pool.grant(attempt.call, credit.bytes);
+    }
 }
 
 void MeshTarget::beginRun(Attempt &attempt, TimePoint now)
@@ -287,11 +427,17 @@
     const TimePoint started = attempt.isRunning ? attempt.started : now;
     m_hooks.ended(attempt.requestId, answer, started - attempt.received, now - started);
     const Reply reply = std::move(attempt.reply);
+    removeAttempt(attempt);
+    reply.answer(std::move(answer));
+}
+
+void MeshTarget::removeAttempt(const Attempt &attempt)
+{
     const auto byKey = m_byKey.find(attempt.key);
     const AttemptTicket ticket = byKey->second;
+    m_queueExpiries.erase({queueExpiryOf(attempt.deadline), ticket});
     m_byKey.erase(byKey);
     m_attempts.erase(ticket);
-    reply(std::move(answer));
 }
 
 AdmissionHint MeshTarget::hintFor(const CallRequest &request, TimePoint now) const
@@ -314,8 +460,7 @@
     } else {
         m_admission->cancel(ticket, now, actions);
     }
-    m_byKey.erase(found->second.key);
-    m_attempts.erase(found);
+    removeAttempt(found->second);
     apply(actions);
 }
 
--- a/src/mesh/meshtarget.h
+++ b/src/mesh/meshtarget.h
@@ -4,10 +4,12 @@
 //
 //   MeshTarget target(context, settings, headers, hooks);
 //   target.serve(report);
-//   target.handleRequest(sender, request, [](CallAnswer answer) { ... });
+//   target.handleRequest(sender, request, {.answer = ..., .bodyPart = ...});
 
 #include "coordination/overload/admissioncontroller.h"
 #include "edge/httpconnectionpool.h"
+#include "mesh/calloutcome.h"
+#include "mesh/pendingrequest.h"
 #include "protocol/callmessages.h"
 #include "protocol/headerdialect.h"
 #include "state/endpoint.h"
@@ -22,9 +24,11 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 namespace banyankeel
 {
@@ -53,7 +57,12 @@
 class MeshTarget
 {
 public:
-    using Reply = std::function<void(CallAnswer)>;
+    /// Where the answer to a request goes. All must be set.
+    struct Reply {
+        std::function<void(CallAnswer answer)> answer;
+        /// Called after an answer whose body follows.
+        std::function<void(CallBodyPart part)> bodyPart;
+    };
 
     MeshTarget(asio::io_context &context, MeshTargetSettings settings, HeaderDialect headers, MeshTargetHooks hooks);
     ~MeshTarget();
@@ -72,11 +81,18 @@
     void handleRequest(const Endpoint &sender, CallRequest request, Reply reply);
     /// The sender no longer waits for the answer; none is sent.
     void handleCancel(const Endpoint &sender, AttemptId attempt);
+    /// The sender has passed on @p credit.bytes of a body.
+    void handleBodyCredit(const Endpoint &sender, const CallBodyCredit &credit);
     /// The connection to @p sender is lost; cancels its attempts because no answer can reach it.
     void handleSenderLost(const Endpoint &sender);
     /// Refuses requests that were queued for too long. Call at least every 50 ms while isBusy().
     void expireQueued();
 
+    /// Ends all requests: those that wait are refused, running ones are cancelled.
+    void endAll();
+    /// The requests that wait or run, oldest first, for logs.
+    [[nodiscard]] std::vector<PendingRequest> pending() const;
+
     /// Sends a health check to the target. @param answered gets the response, if any.
     void probe(const std::string &path, std::function<void(const std::optional<HttpResponse> &response)> answered);
     /// Ends running requests and closes all connections to the target.
@@ -122,16 +138,27 @@
         bool isRunning = false;
         RequestKind kind{};
         double retryShare = 0;
+        /// Whether the answer was sent and parts of the body follow.
+        bool isStreaming = false;
     };
 
     void apply(AdmissionActions &actions);
     void run(AttemptTicket ticket);
     void handleResult(AttemptTicket ticket, HttpResult result);
+    /// Sends the head of a response whose body follows in parts.
+    void beginStream(AttemptTicket ticket, HttpResponse head, std::optional<std::uint64_t> length);
+    void sendBodyPart(AttemptTicket ticket, std::string bytes);
+    /// Classifies a response or its absence, and reports what the target says about itself in it.
+    CallOutcome takeOutcome(HttpResult result);
+    void removeAttempt(const Attempt &attempt);
     void refuse(Attempt &attempt, const Verdict &verdict);
     void beginRun(Attempt &attempt, TimePoint now);
     void endRun(const Attempt &attempt, TimePoint now, bool hasResponse);
     void sendAnswer(Attempt &attempt, const Verdict &verdict, std::optional<HttpResponse> response);
     void cancel(AttemptTicket ticket);
+    /// Refuses queued requests whose time is over, early enough for the answer to arrive in time, and wakes up for the next one.
+    void expireOverdue();
+    void scheduleExpiry();
     /// Wakes up when the rate limit permits the next queued request.
     void scheduleNextStart();
     [[nodiscard]] std::optional<Verdict> refusalBeforeAdmission(TimePoint now) const;
@@ -144,6 +171,10 @@
     std::unique_ptr<AdmissionController> m_admission;
     asio::steady_timer m_startTimer;
     std::optional<TimePoint> m_nextStartAt;
+    /// When queued requests are given up, earliest first.
+    std::set<std::pair<TimePoint, AttemptTicket>> m_queueExpiries;
+    asio::steady_timer m_expiryTimer;
+    std::optional<TimePoint> m_expiryTimerAt;
     std::optional<TargetBoot> m_boot;
     bool m_isServing = false;
     /// Requests are refused until then after a failed connection, because the target has crashed or is starting.
--- a/src/mesh/test/mesh_test.cpp
+++ b/src/mesh/test/mesh_test.cpp
@@ -1,4 +1,5 @@
 #include "mesh/test/meshfleet.h"
+#include "mesh/test/meshrequests.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -9,61 +10,6 @@
 using namespace banyankeel::testing;
 using namespace std::chrono_literals;
 
-namespace
-{
-const std::string Head = "Host: hr.example\r\nRemaining: 5000\r\nAuthorization: Key k1\r\n";
-
-std::string getRequest(const std::string &path, const std::string &id)
-{
-    return "GET " + path + " HTTP/1.1\r\nRequest: " + id + "\r\n" + Head;
-}
-
-MeshRoute route(const std::string &name, const std::string &service, Repeatability repeatability = Repeatability::Idempotent)
-{
-    return {
-        .name = RouteName(name),
-        .host = "hr.example",
-        .pathPrefix = "/" + name + "/",
-        .repeatability = repeatability,
-        .timeLimit = 5s,
-        .targetLatency = 1s,
-        .priority = PriorityLevel{1},
-        .services = {{ServiceName(service), 1}},
-        .maxAttempts = 2,
-        .isAnonymous = false,
-    };
-}
-
-void addOrganisation(MeshObjects &objects)
-{
-    objects.organisations = {{OrganisationId("carrier"), {"k1"}, std::nullopt, 0, 0}};
-}
-
-/// Publishes the routes whose service is part of the fleet.
-void publishRoutes(MeshFleet &fleet)
-{
-    fleet.publish([](MeshObjects &it) {
-        it.routes = {route("a", "alpha"), route("b", "beta"), route("orders", "beta", Repeatability::AtMostOnce)};
-        std::erase_if(it.routes, [&it](const MeshRoute &route) {
-            return std::ranges::find(it.services, route.services.front().service, &MeshService::name) == it.services.end();
-        });
-        addOrganisation(it);
-    });
-}
-
-HttpResponse signedResponse(const SeenRequest &seen, int status)
-{
-    return {.status = status,
-            .headers = {{"Request", std::string(findHeader(seen.request.headers, "Request").value_or(""))}, {"Signature", "s"}},
-            .body = seen.target};
-}
-
-std::size_t countOf(const std::vector<SeenRequest> &seen, const std::string &id)
-{
-    return static_cast<std::size_t>(std::ranges::count_if(seen, [&](const SeenRequest &it) { return findHeader(it.request.headers, "Request") == id; }));
-}
-} // namespace
-
 BOOST_AUTO_TEST_SUITE(mesh)
 
 BOOST_AUTO_TEST_CASE(NodesThatRegisterAtTheSameTimeFindEachOther)
@@ -265,6 +211,30 @@
     left->get_future().wait();
 }
 
+BOOST_AUTO_TEST_CASE(ARequestWhoseTimeIsOverInTheQueueIsAnsweredAsNotRun)
+{
+    MeshFleet fleet({"alpha", "beta"});
+    publishRoutes(fleet);
+    fleet.sendHeartbeat(1);
+    fleet.requestUntil(0, getRequest("/b/1", "r0"), "200");
+    fleet.setTargetHandler([](const SeenRequest &, const HttpResponder &) {});
+    std::vector<std::unique_ptr<RawConnection>> busy;
+    const std::size_t before = fleet.seenRequests().size();
+    // As many as the node lets its target run at once.
+    constexpr std::size_t UsableSlots = 7;
+    for (std::size_t n = 0; n < UsableSlots; ++n) {
+        busy.push_back(std::make_unique<RawConnection>(fleet.callerEndpoint(0)));
+        busy.back()->write(getRequest("/b/1", "busy" + std::to_string(n)) + "\r\n");
+    }
+    fleet.waitUntilSeen(before + UsableSlots);
+    for (int n = 0; n < 5; ++n) {
+        const std::string id = "order" + std::to_string(n);
+        const std::string answer = fleet.request(0, getRequest("/orders/1", id, "90"));
+        BOOST_CHECK_MESSAGE(answer.starts_with("HTTP/1.1 503"), answer);
+        BOOST_CHECK_EQUAL(countOf(fleet.seenRequests(), id), 0);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(AKilledNodeIsFoundAgain)
 {
     MeshFleet fleet({"alpha", "beta"});
--- a/src/mesh/test/meshentry_test.cpp
+++ b/src/mesh/test/meshentry_test.cpp
@@ -74,8 +74,9 @@
                               }
                               return true;
                           },
-                      .runLocally = [](const CallRequest &, const std::function<void(CallAnswer)> &) {},
+                      .runLocally = [](const CallRequest &) {},
                       .cancelLocally = [](AttemptId) {},
+                      .creditLocally = [](const CallBodyCredit &) {},
                       .scheduleExpiry = [](TimePoint) {},
                       .nodeCount = [] { return std::size_t{1}; },
                       .ended = [](const EntryOutcome &) {},
@@ -85,10 +86,11 @@
                   {m_router, m_rateLimiter, m_meter, m_admission})
     {
         MeshObjects objects{.version = ConfigurationVersion{1},
-                            .routes = {routeOf("status", Monitor, false), routeOf("telemetry", Monitor, true)},
+                            .routes = {routeOf("status", Monitor, false), routeOf("telemetry", Monitor, true), routeOf("order", Monitor, true)},
                             .services = {{Dispatch, "/", 10}, {Monitor, "/", 10}},
                             .organisations = {{OrganisationId("amsel"), {"key"}, std::nullopt, 0, 0}},
                             .limits = {}};
+        objects.routes.back().repeatability = Repeatability::AtMostOnce;
         m_admission.configure(objects);
         m_configuration = std::make_shared<const MeshConfiguration>(std::move(objects));
         for (std::uint16_t n = 1; n <= 3; ++n) {
@@ -182,6 +184,29 @@
     BOOST_TEST(rig.statuses[0] == 503);
 }
 
+// An order whose message never left this node has certainly not run.
+BOOST_AUTO_TEST_CASE(AnOrderThatNeverLeftTheNodeMovesToAnotherTarget)
+{
+    EntryRig rig;
+    rig.request("a", "order");
+    rig.entry().handleUnsent(rig.sent.back().second.attempt);
+    BOOST_TEST(rig.requestedTargets().size() == 2U);
+    // The loss of its former connection no longer concerns it.
+    rig.entry().handlePeerLost(rig.sent.front().first, true);
+    BOOST_TEST(rig.statuses.empty());
+}
+
+// The connection to the target's node was lost after the message had left.
+BOOST_AUTO_TEST_CASE(AnOrderThatMayHaveArrivedIsNotSentAgain)
+{
+    EntryRig rig;
+    rig.request("a", "order");
+    rig.entry().handlePeerLost(rig.sent.back().first, true);
+    BOOST_TEST(rig.sent.size() == 1U);
+    BOOST_REQUIRE(rig.statuses.size() == 1);
+    BOOST_TEST(rig.statuses[0] == 502);
+}
+
 // Guards against a stopping node accepting a request that outlives the process, which would leave the caller without a response.
 BOOST_AUTO_TEST_CASE(AStoppingNodeTakesNothingThatMayOutlastIt)
 {
--- a/src/mesh/test/meshfleet.cpp
+++ b/src/mesh/test/meshfleet.cpp
@@ -304,6 +304,39 @@
     });
 }
 
+std::future<void> MeshFleet::stop(std::size_t node)
+{
+    auto stopped = std::make_shared<std::promise<void>>();
+    std::future<void> result = stopped->get_future();
+    m_rig.run([&] {
+        m_hosts[node].node->drain([this, node, stopped] {
+            // The process ends, and with it its connections.
+            asio::post(m_rig.context, [this, node, stopped] {
+                m_hosts[node].node->stopNow();
+                m_killed.push_back(std::move(m_hosts[node].node));
+                stopped->set_value();
+            });
+        });
+    });
+    return result;
+}
+
+void MeshFleet::setGracePeriod(Duration gracePeriod)
+{
+    for (Host &it : m_hosts) {
+        it.settings.gracePeriod = gracePeriod;
+    }
+}
+
+double MeshFleet::metric(std::size_t node, const std::string &name) const
+{
+    RawConnection connection(m_hosts[node].settings.metrics);
+    connection.write("GET /metrics HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    const std::string text = connection.readToEnd();
+    const std::size_t at = text.find('\n' + name + ' ');
+    return at == std::string::npos ? 0 : std::stod(text.substr(at + name.size() + 2));
+}
+
 void MeshFleet::start(std::size_t node)
 {
     m_rig.run([&] {
--- a/src/mesh/test/meshfleet.h
+++ b/src/mesh/test/meshfleet.h
@@ -9,6 +9,7 @@
 #include <condition_variable>
 #include <deque>
 #include <functional>
+#include <future>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -93,6 +94,12 @@
     /// Stops the node abruptly, like a killed process, and starts a new one in its place.
     void restart(std::size_t node);
     void kill(std::size_t node);
+    /// Sends the node the signal to stop. The result is ready when its process would end; it is then gone.
+    std::future<void> stop(std::size_t node);
+    /// The value of the metric @p name of the node.
+    double metric(std::size_t node, const std::string &name) const;
+    /// Changes the settings of all nodes that are started later.
+    void setGracePeriod(Duration gracePeriod);
     void start(std::size_t node);
     /// Sets how targets respond; the default is a signed 200 with the target's name as body.
     void setTargetHandler(std::function<void(const SeenRequest &, const HttpResponder &)> answer);
--- a/src/protocol/callmessages.cpp
+++ b/src/protocol/callmessages.cpp
@@ -127,6 +127,20 @@
     }
 }
 
+void writeLength(WireWriter &writer, const std::optional<std::uint64_t> &length)
+{
+    if (length) {
+        writer.compactNumber(*length);
+    } else {
+        writer.absent();
+    }
+}
+
+std::optional<std::uint64_t> readLength(WireReader &reader)
+{
+    return reader.absent() ? std::nullopt : std::optional(reader.number("body length"));
+}
+
 AttemptId readAttempt(WireReader &reader)
 {
     return static_cast<AttemptId>(reader.number("attempt"));
@@ -211,6 +225,10 @@
     } else {
         writer.absent();
     }
+    writer.flag(following.has_value());
+    if (following) {
+        writeLength(writer, following->length);
+    }
     return {MessageType::CallAnswer, writer.take()};
 }
 
@@ -236,8 +254,50 @@
         http.body = reader.bytes("body");
         response = std::move(http);
     }
+    std::optional<FollowingBody> following;
+    if (reader.flag("body follows")) {
+        following = FollowingBody{readLength(reader)};
+    }
+    reader.finish();
+    return {attempt, verdict, std::move(response), hint, retriesSpent, following};
+}
+
+Envelope CallBodyPart::encode() const
+{
+    WireWriter writer;
+    writer.number(static_cast<std::uint64_t>(attempt));
+    writer.compactNumber(static_cast<std::uint64_t>(progress));
+    writer.bytes(bytes);
+    return {MessageType::CallBodyPart, writer.take()};
+}
+
+CallBodyPart CallBodyPart::decode(const Envelope &envelope)
+{
+    requireType(envelope, MessageType::CallBodyPart, "call body part");
+    WireReader reader(envelope.payload, "call body part");
+    const AttemptId attempt = readAttempt(reader);
+    const auto progress = static_cast<BodyProgress>(reader.number("progress", static_cast<std::uint64_t>(BodyProgress::Broken)));
+    std::string bytes = reader.bytes("bytes");
+    reader.finish();
+    return {attempt, std::move(bytes), progress};
+}
+
+Envelope CallBodyCredit::encode() const
+{
+    WireWriter writer;
+    writer.number(static_cast<std::uint64_t>(attempt));
+    writer.compactNumber(bytes);
+    return {MessageType::CallBodyCredit, writer.take()};
+}
+
+CallBodyCredit CallBodyCredit::decode(const Envelope &envelope)
+{
+    requireType(envelope, MessageType::CallBodyCredit, "call body credit");
+    WireReader reader(envelope.payload, "call body credit");
+    const AttemptId attempt = readAttempt(reader);
+    const auto bytes = static_cast<std::uint32_t>(reader.number("bytes", std::numeric_limits<std::uint32_t>::max()));
     reader.finish();
-    return {attempt, verdict, std::move(response), hint, retriesSpent};
+    return {attempt, bytes};
 }
 
 Envelope CallCancel::encode() const
--- a/src/protocol/callmessages.h
+++ b/src/protocol/callmessages.h
@@ -11,8 +11,10 @@
 #include "state/verdict.h"
 
 #include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <string>
 
 namespace banyankeel
 {
@@ -65,7 +67,15 @@
     friend auto operator<=>(const AdmissionHint &, const AdmissionHint &) = default;
 };
 
-/// Completes an attempt. A successful verdict is sent with the complete response.
+/// The rest of a response body that is sent after the answer, in parts.
+struct FollowingBody {
+    /// Bytes of the whole body; absent if the target did not announce a length.
+    std::optional<std::uint64_t> length;
+
+    friend auto operator<=>(const FollowingBody &, const FollowingBody &) = default;
+};
+
+/// Completes an attempt. A successful verdict is sent with the complete response, or with the head of a response whose body follows.
 struct CallAnswer {
     AttemptId attempt;
     Verdict verdict;
@@ -73,6 +83,8 @@
     AdmissionHint hint;
     /// Retries that downstream hops took from the retry budget of the request.
     std::uint16_t retriesSpent;
+    /// Set if the body of the response follows in parts; its beginning may be in the response.
+    std::optional<FollowingBody> following = std::nullopt;
 
     [[nodiscard]] Envelope encode() const;
     /// @throws ProtocolError on malformed payloads.
@@ -81,6 +93,43 @@
     friend auto operator<=>(const CallAnswer &, const CallAnswer &) = default;
 };
 
+/// Whether more of a body follows a part.
+enum class BodyProgress : std::uint8_t {
+    More,
+    /// The part is the last one and the body is whole.
+    Complete,
+    /// Nothing follows, and the body is not whole.
+    Broken,
+};
+
+/// Part of the body of a response whose answer announced that it follows.
+struct CallBodyPart {
+    AttemptId attempt;
+    std::string bytes;
+    BodyProgress progress;
+
+    [[nodiscard]] Envelope encode() const;
+    /// @throws ProtocolError on malformed payloads.
+    static CallBodyPart decode(const Envelope &envelope);
+
+    friend auto operator<=>(const CallBodyPart &, const CallBodyPart &) = default;
+};
+
+/// Bytes of a body that may be sent before the first CallBodyCredit.
+inline constexpr std::size_t InitialBodyCredit = std::size_t{64} * 1024;
+
+/// Permits the sender of a body to send further bytes, as those before have been passed on.
+struct CallBodyCredit {
+    AttemptId attempt;
+    std::uint32_t bytes;
+
+    [[nodiscard]] Envelope encode() const;
+    /// @throws ProtocolError on malformed payloads.
+    static CallBodyCredit decode(const Envelope &envelope);
+
+    friend auto operator<=>(const CallBodyCredit &, const CallBodyCredit &) = default;
+};
+
 /// Cancels an attempt whose result is no longer needed.
 struct CallCancel {
     AttemptId attempt;
--- a/src/protocol/envelope.h
+++ b/src/protocol/envelope.h
@@ -19,6 +19,8 @@
     CallRequest = 10,
     CallAnswer = 11,
     CallCancel = 12,
+    CallBodyPart = 13,
+    CallBodyCredit = 14,
     // Configuration.
     ConfigurationDigest = 30,
     ConfigurationPull = 31,
--- a/src/transport/httpresponder.h
+++ b/src/transport/httpresponder.h
@@ -6,9 +6,12 @@
 //   respond({.status = 200, .headers = {}, .body = "hello"});
 
 #include "protocol/httpmessage.h"
+#include "transport/responsebody.h"
 
 #include <concepts>
+#include <cstdint>
 #include <functional>
+#include <optional>
 #include <type_traits>
 #include <utility>
 
@@ -22,10 +25,14 @@
     using Respond = std::function<void(HttpResponse)>;
     using Watch = std::function<void(std::function<void()>)>;
 
+    using Begin = std::function<ResponseBody(HttpResponse head, std::optional<std::uint64_t> length, ResponseBodyHooks hooks)>;
+
     HttpResponder() = default;
-    HttpResponder(Respond respond, Watch watch)
+    /// @param begin null if the server takes whole responses only.
+    HttpResponder(Respond respond, Watch watch, Begin begin = nullptr)
         : m_respond(std::move(respond))
         , m_watch(std::move(watch))
+        , m_begin(std::move(begin))
     {
     }
     /// Answers by any function, for tests and for requests that came another way.
@@ -48,9 +55,21 @@
         }
     }
 
+    [[nodiscard]] bool takesParts() const
+    {
+        return m_begin != nullptr;
+    }
+    /// Answers with @p head, whose body follows in parts. @param length of the whole body, if known.
+    /// @pre takesParts(), and on the server's thread.
+    [[nodiscard]] ResponseBody begin(HttpResponse head, std::optional<std::uint64_t> length, ResponseBodyHooks hooks) const
+    {
+        return m_begin(std::move(head), length, std::move(hooks));
+    }
+
 private:
     Respond m_respond;
     Watch m_watch;
+    Begin m_begin;
 };
 
 } // namespace banyankeel
