Reports of other operators, provoked with real processes; smaller buffers; fewer reads of the roster

Changes on the way: attempt ids go on from the clock after a restart; a node without a configuration asks for the newest that it hears of; a connection between nodes reads through 4 KB in place of 16, three of the four servers of a node through 4 KB in place of 64; all but relays read the roster every 90 s in place of 20.

--- a/src/coordination/feed/configurationfetcher.cpp
+++ b/src/coordination/feed/configurationfetcher.cpp
@@ -48,7 +48,12 @@
     }
     m_request.reset();
     auto best = m_reported.end();
-    const auto rankOf = [](const ReportedVersion &it) { return std::tuple(it.distance, it.askedAt.value_or(TimePoint::min())); };
+    // A node that has none takes the newest: an older document may allow what was withdrawn before the node started.
+    const bool hasNone = own == ConfigurationVersion{};
+    const auto rankOf = [hasNone](const ReportedVersion &it) {
+        const std::uint64_t age = hasNone ? ~static_cast<std::uint64_t>(it.version) : 0;
+        return std::tuple(age, it.distance, it.askedAt.value_or(TimePoint::min()));
+    };
     for (auto it = m_reported.begin(); it != m_reported.end(); ++it) {
         if (isEligible(it->second, own, now) && (best == m_reported.end() || rankOf(it->second) < rankOf(best->second))) {
             best = it;
--- a/src/coordination/feed/test/configurationfetcher_test.cpp
+++ b/src/coordination/feed/test/configurationfetcher_test.cpp
@@ -44,6 +44,14 @@
     BOOST_CHECK(fetcher.next(Old, now) == Other);
 }
 
+// The older one may allow a key that has been withdrawn since.
+BOOST_FIXTURE_TEST_CASE(ANodeWithoutAConfigurationAsksForTheNewest, FetcherFixture)
+{
+    fetcher.recordVersion(Near, PeerDistance::FailureDomain, New);
+    fetcher.recordVersion(Other, PeerDistance::Region, Newest);
+    BOOST_CHECK(fetcher.next(ConfigurationVersion{}, now) == Other);
+}
+
 BOOST_FIXTURE_TEST_CASE(ThePeerOfTheOwnFailureDomainIsAskedFirst, FetcherFixture)
 {
     fetcher.recordVersion(Near, PeerDistance::Region, New);
--- a/src/edge/edgeserver.cpp
+++ b/src/edge/edgeserver.cpp
@@ -19,7 +19,6 @@
 constexpr Duration SweepInterval = std::chrono::milliseconds(250);
 // If the process is out of file descriptors, an immediate retry would fail again.
 constexpr Duration AcceptRetryDelay = std::chrono::milliseconds(100);
-constexpr std::size_t ReadBufferBytes = std::size_t{64} * 1024;
 constexpr int ListenBacklog = 1024;
 
 TimePoint steadyNow()
@@ -36,7 +35,7 @@
         , m_acceptor(context)
         , m_timer(context)
         , m_shared(std::make_shared<EdgeConnectionSharedState>())
-        , m_readBuffer(ReadBufferBytes)
+        , m_readBuffer(m_settings.readBufferBytes)
     {
         m_shared->handler = std::move(handler);
         m_shared->maxBufferedBytes = m_settings.maxBufferedBytes;
--- a/src/edge/edgeserver.h
+++ b/src/edge/edgeserver.h
@@ -45,6 +45,8 @@
     /// Limit of the bytes of requests and responses buffered by all connections together. Above it, requests are refused with 503 before their
     /// bodies are read.
     std::size_t maxBufferedBytes = std::size_t{64} * 1024 * 1024;
+    /// Bytes read from a connection at once. The buffer belongs to the server, not to a connection.
+    std::size_t readBufferBytes = std::size_t{64} * 1024;
 };
 
 /// Totals since the server was created.
--- a/src/edge/test/iocontextthread.h
+++ b/src/edge/test/iocontextthread.h
@@ -131,6 +131,12 @@
     {
         m_socket.close();
     }
+    /// Ends the connection in an orderly way; another thread that reads from it returns.
+    void shutDown()
+    {
+        std::error_code ec;
+        m_socket.shutdown(asio::ip::tcp::socket::shutdown_both, ec);
+    }
 
 private:
     bool readSome()
--- a/src/mesh/meshentry.cpp
+++ b/src/mesh/meshentry.cpp
@@ -62,6 +62,7 @@
     , m_rateLimiter(dependencies.rateLimiter)
     , m_meter(dependencies.meter)
     , m_admission(dependencies.admission)
+    , m_lastAttempt(m_settings.firstAttempt)
 {
 }
 
--- a/src/mesh/meshentry.h
+++ b/src/mesh/meshentry.h
@@ -44,6 +44,8 @@
     double retryRatio;
     double retrySlack;
     Duration retryWindow;
+    /// Attempts are numbered from here on, so that an answer to an earlier process of this node is not taken for one of this process.
+    std::uint64_t firstAttempt = 0;
 };
 
 /// How a request ended, for logs and metrics. Views are valid during the call only.
@@ -191,7 +193,7 @@
     std::unordered_map<AttemptId, RequestPointer> m_bodies;
     ResponseSizes m_responseSizes;
     std::multimap<TimePoint, AttemptId> m_deadlines;
-    std::uint64_t m_lastAttempt = 0;
+    std::uint64_t m_lastAttempt;
     std::optional<Shutdown> m_shutdown;
     bool m_retriesStopped = false;
 };
--- a/src/mesh/meshnode.cpp
+++ b/src/mesh/meshnode.cpp
@@ -17,7 +17,9 @@
 namespace
 {
 using namespace std::chrono_literals;
-constexpr Duration RosterInterval = 20s;
+// Relays introduce new nodes to all others; the roster finds those that the relays do not know.
+constexpr Duration RosterInterval = 90s;
+constexpr Duration RelayRosterInterval = 20s;
 // Without the store, other nodes can only be learned from their connections, so the node listens for peers after this time even if the store is silent.
 constexpr Duration StoreTimeout = 1s;
 constexpr Duration TickInterval = 100ms;
@@ -39,6 +41,8 @@
 // Most descriptors are for callers; one in this many is for connections to the target.
 constexpr std::size_t TargetConnectionsDivisor = 3;
 constexpr double HeldMemoryShare = 0.25;
+// Probes, heartbeats and requests for metrics are short.
+constexpr std::size_t SmallReadBufferBytes = std::size_t{4} * 1024;
 // Idle connections are kept a little longer than the announced idle time, so that clients close them first.
 constexpr Duration IdleTimeMargin = 1s;
 
@@ -48,6 +52,12 @@
     return seededRandom((static_cast<std::uint64_t>(device()) << 32U) | device());
 }
 
+/// Larger than that of any earlier process of this node, by more than the requests that it may have sent.
+std::uint64_t processNumber()
+{
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::system_clock::now().time_since_epoch()).count());
+}
+
 std::string formatMilliseconds(Duration duration)
 {
     return fmt::format("{:.1f}", std::chrono::duration<double, std::milli>(duration).count());
@@ -89,7 +99,8 @@
                .self = settings.peers,
                .retryRatio = settings.retryRatio,
                .retrySlack = settings.retrySlack,
-               .retryWindow = settings.retryWindow},
+               .retryWindow = settings.retryWindow,
+               .firstAttempt = processNumber()},
               m_adapter.headers,
               entryHooks(),
               {m_router, m_rateLimiter, m_meter, m_admission})
@@ -102,13 +113,15 @@
                  .maxConnections = settings.descriptors - std::min(settings.descriptors, ReservedDescriptors + settings.descriptors / TargetConnectionsDivisor),
                  .maxBufferedBytes = static_cast<std::size_t>(static_cast<double>(settings.memoryBytes) * HeldMemoryShare)},
                 [this](HttpRequest request, const HttpResponder &respond) { m_entry.handleRequest(std::move(request), respond); })
-    , m_readiness(
-          context, {.listen = settings.readiness}, [this](const HttpRequest &request, const HttpResponder &respond) { handleReadinessProbe(request, respond); })
+    , m_readiness(context,
+                  {.listen = settings.readiness, .readBufferBytes = SmallReadBufferBytes},
+                  [this](const HttpRequest &request, const HttpResponder &respond) { handleReadinessProbe(request, respond); })
     , m_reports(context,
-                {.listen = settings.reports},
+                {.listen = settings.reports, .readBufferBytes = SmallReadBufferBytes},
                 [this](const HttpRequest &request, const HttpResponder &respond) { handleTargetNotification(request, respond); })
-    , m_metricsServer(
-          context, {.listen = settings.metrics}, [this](const HttpRequest &request, const HttpResponder &respond) { handleMetricsRequest(request, respond); })
+    , m_metricsServer(context,
+                      {.listen = settings.metrics, .readBufferBytes = SmallReadBufferBytes},
+                      [this](const HttpRequest &request, const HttpResponder &respond) { handleMetricsRequest(request, respond); })
     , m_tickTimer(context)
     , m_entryTimer(context)
     , m_requestLog(RequestLinesPerSecond)
@@ -247,7 +260,8 @@
         updateRelays(now);
         reportIfDue(now);
         fetchConfiguration();
-        if (now - m_rosterReadAt >= RosterInterval) {
+        const bool isOwnRelay = m_relays.current() == m_settings.node;
+        if (now - m_rosterReadAt >= (isOwnRelay ? RelayRosterInterval : RosterInterval)) {
             readRoster();
         }
         tick();
--- a/src/transport/framereader.cpp
+++ b/src/transport/framereader.cpp
@@ -11,8 +11,8 @@
 
 namespace
 {
-// Holds many frames of the usual size; longer ones are read into their payload directly.
-constexpr std::size_t BufferBytes = std::size_t{16} * 1024;
+// Holds a few frames of the usual size; longer ones are read into their payload directly. A node has a buffer for each of its connections.
+constexpr std::size_t BufferBytes = std::size_t{4} * 1024;
 } // namespace
 
 FrameReader::FrameReader(std::size_t maxPayloadBytes)
--- /dev/null
+++ b/tests/integration/meshprocesses_test.cpp
@@ -0,0 +1,184 @@
+// What operators of similar systems reported, provoked with real banyankeel-mesh processes: node 0 passes on requests to the target beside node 1.
+
+#include "integration/meshhosts.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <csignal>
+
+using namespace banyankeel;
+using namespace banyankeel::testing;
+using namespace std::chrono_literals;
+
+namespace
+{
+constexpr auto EndLimit = 15s;
+
+class MeshFixture
+{
+public:
+    MeshFixture()
+        : hosts({"alpha", "beta"})
+    {
+        hosts.publish(1, {"key"});
+        hosts.heartbeat(0, "ready");
+        hosts.heartbeat(1, "ready");
+        hosts.requestUntil(0, "/beta/1", "key", 200);
+    }
+    std::string order(const std::string &id, int remainingMs = 3000) const
+    {
+        return hosts.request(0, MeshHosts::get("/beta-once/1", id, "key", remainingMs));
+    }
+
+    MeshHosts hosts;
+};
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(meshprocesses)
+
+BOOST_AUTO_TEST_CASE(ASecondCopyOfAnAnswerReachesNoOtherCaller)
+{
+    MeshFixture it;
+    it.hosts.target(1).setReply([](const std::string &id, const std::string &path) {
+        const std::string own = ScriptedTarget::response(id, "answer of " + id);
+        // The copy arrives where the next request's answer is expected.
+        return TargetReply{path == "/beta/twice" ? own + own : own};
+    });
+    for (int n = 0; n < 20; ++n) {
+        const std::string id = "r" + std::to_string(n);
+        const std::string answer = it.hosts.request(0, MeshHosts::get(n % 2 == 0 ? "/beta/twice" : "/beta/1", id, "key"));
+        BOOST_CHECK_MESSAGE(answer.ends_with("answer of " + id), answer);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(AnAnswerWhoseHeadBreaksOffIsNoSuccess)
+{
+    MeshFixture it;
+    const std::string whole = ScriptedTarget::response("order", "");
+    for (const std::size_t cut : {std::size_t{12}, whole.find("Server"), whole.find("Content-Length"), whole.size() - 2, whole.size() - 1}) {
+        it.hosts.target(1).setReply([&](const std::string &, const std::string &) { return TargetReply{whole.substr(0, cut), true}; });
+        BOOST_CHECK(it.order("order").starts_with("HTTP/1.1 502"));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(AnAnswerThatBreaksOffHalfwayIsNoSuccess)
+{
+    MeshFixture it;
+    for (const std::size_t length : {std::size_t{1'000}, std::size_t{300'000}}) {
+        const std::string whole = ScriptedTarget::response("order", std::string(length, 'x'));
+        it.hosts.target(1).setReply([&](const std::string &, const std::string &) { return TargetReply{whole.substr(0, whole.size() - 900), true}; });
+        const std::string answer = it.order("order");
+        // A long body has begun to be passed on; it ends before its length.
+        BOOST_CHECK(answer.starts_with("HTTP/1.1 502") || (length > 100'000 && answer.size() < length));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(AnOrderWhoseAnswerIsLostRunsOnceAndIsNotSaidNotToHaveRun)
+{
+    MeshFixture it;
+    it.hosts.target(1).setReply([](const std::string &, const std::string &) { return TargetReply{"", true}; });
+    BOOST_CHECK(it.order("order").starts_with("HTTP/1.1 502"));
+    BOOST_CHECK_EQUAL(it.hosts.target(1).arrivals("order"), 1);
+}
+
+BOOST_AUTO_TEST_CASE(AnOrderUnderWayAtANodeThatIsKilledRunsOnce)
+{
+    MeshFixture it;
+    it.hosts.target(1).setReply([](const std::string &, const std::string &) { return TargetReply{}; });
+    RawConnection caller(it.hosts.callers(0));
+    caller.write(MeshHosts::get("/beta-once/1", "order", "key") + "Connection: close\r\n\r\n");
+    while (it.hosts.target(1).arrivals("order") == 0) {
+        std::this_thread::sleep_for(5ms);
+    }
+    it.hosts.kill(1);
+    it.hosts.start(1);
+    const std::string answer = caller.readToEnd();
+    BOOST_CHECK(answer.starts_with("HTTP/1.1 502") || answer.starts_with("HTTP/1.1 504"));
+    it.hosts.heartbeat(1, "ready");
+    it.hosts.target(1).setReply([](const std::string &id, const std::string &) { return TargetReply{ScriptedTarget::response(id, "ok")}; });
+    it.hosts.requestUntil(0, "/beta/1", "key", 200);
+    BOOST_CHECK_EQUAL(it.hosts.target(1).arrivals("order"), 1);
+}
+
+// The answers to requests of the process before must not be taken for those of the next, which counts its requests anew.
+BOOST_AUTO_TEST_CASE(AnAnswerToAKilledEntryReachesNoCallerOfTheNextOne)
+{
+    MeshFixture it;
+    it.hosts.target(1).setReply([](const std::string &id, const std::string &path) {
+        if (path == "/beta/slow") {
+            std::this_thread::sleep_for(700ms);
+        }
+        return TargetReply{ScriptedTarget::response(id, "answer of " + id)};
+    });
+    std::vector<std::unique_ptr<RawConnection>> callers;
+    for (int n = 0; n < 10; ++n) {
+        callers.push_back(std::make_unique<RawConnection>(it.hosts.callers(0)));
+        callers.back()->write(MeshHosts::get("/beta/slow", "old" + std::to_string(n), "key") + "\r\n");
+    }
+    while (it.hosts.target(1).arrivals("old9") == 0) {
+        std::this_thread::sleep_for(5ms);
+    }
+    it.hosts.kill(0);
+    it.hosts.start(0);
+    it.hosts.requestUntil(0, "/beta/1", "key", 200);
+    for (int n = 0; n < 30; ++n) {
+        const std::string id = "new" + std::to_string(n);
+        const std::string answer = it.hosts.request(0, MeshHosts::get("/beta/1", id, "key"));
+        BOOST_CHECK_MESSAGE(answer.ends_with("answer of " + id), answer);
+        std::this_thread::sleep_for(30ms);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(ATargetThatHasLeftAndAKeyThatWasWithdrawnAreNotInUseAfterAKill)
+{
+    MeshFixture it;
+    BOOST_CHECK(it.hosts.heartbeat(1, "draining").starts_with("HTTP/1.1 200"));
+    it.hosts.publish(2, {"other"});
+    it.hosts.requestUntil(0, "/beta/1", "key", 401);
+    it.hosts.kill(0);
+    it.hosts.kill(1);
+    it.hosts.start(0);
+    it.hosts.start(1);
+    // A late heartbeat from before the departure.
+    it.hosts.heartbeat(1, "ready");
+    it.hosts.requestUntil(0, "/alpha/1", "other", 200);
+    for (int n = 0; n < 20; ++n) {
+        const std::string id = "late" + std::to_string(n);
+        BOOST_CHECK(!it.hosts.request(0, MeshHosts::get("/beta/1", id, "other", 200)).starts_with("HTTP/1.1 200"));
+        BOOST_CHECK_EQUAL(it.hosts.target(1).arrivals(id), 0);
+        BOOST_CHECK(it.hosts.request(0, MeshHosts::get("/alpha/1", id, "key")).starts_with("HTTP/1.1 401"));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(APlannedStopAnswersWhatItHasTakenAndTakesNothingThatItCannotFinish)
+{
+    MeshFixture it;
+    it.hosts.target(1).setReply([](const std::string &id, const std::string &path) {
+        if (path == "/beta-once/never") {
+            return TargetReply{};
+        }
+        std::this_thread::sleep_for(300ms);
+        return TargetReply{ScriptedTarget::response(id, "ok")};
+    });
+    RawConnection stuck(it.hosts.callers(0));
+    stuck.write(MeshHosts::get("/beta-once/never", "stuck", "key", 20'000) + "\r\n");
+    while (it.hosts.target(1).arrivals("stuck") == 0) {
+        std::this_thread::sleep_for(5ms);
+    }
+    it.hosts.process(0).signal(SIGTERM);
+    const auto begin = std::chrono::steady_clock::now();
+    int taken = 0;
+    for (int n = 0; std::chrono::steady_clock::now() - begin < 3500ms; ++n) {
+        const std::string id = "late" + std::to_string(n);
+        const std::string answer = it.order(id, 2000);
+        const bool isRefused = answer.starts_with("HTTP/1.1 503") && it.hosts.target(1).arrivals(id) == 0;
+        const bool isServed = answer.starts_with("HTTP/1.1 200") && it.hosts.target(1).arrivals(id) == 1;
+        BOOST_CHECK_MESSAGE(isRefused || isServed, answer);
+        taken += isServed ? 1 : 0;
+    }
+    BOOST_CHECK_GT(taken, 0);
+    BOOST_CHECK(stuck.readUntil("\r\n\r\n").starts_with("HTTP/1.1 502"));
+    BOOST_CHECK_EQUAL(it.hosts.process(0).waitForExit(EndLimit), 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
