A node that is its own relay asks another for all that it knows; nodes that were never heard are contacted too

Cause: a node that started while it could reach nobody would try those of the roster for 1.5 s only; one that relayed for itself took no reports of others; a subscription that came with a report heard before by another way was dropped with it. Measured: relays/ANodeThatStartedAloneFindsThoseThatComeLater (1 of 2 peers found before).

--- a/src/mesh/meshnode_fleet.cpp
+++ b/src/mesh/meshnode_fleet.cpp
@@ -293,15 +293,16 @@
 void MeshNode::Impl::handleNodeReport(const Peer &from, const NodeReport &report)
 {
     const TimePoint now = bootTime();
+    // A subscription concerns the connection, whichever way the report came first.
+    if (report.subscription != ReportSubscription::None && m_self) {
+        handleSubscription(from, report, now);
+    }
     if (m_peers.isOutdated(from, report)) {
         return;
     }
     const KnownPeer *before = m_peers.find(from.node);
     const bool wasReachable = before != nullptr && before->isReachable;
     applyReport(from, report, now, now);
-    if (report.subscription != ReportSubscription::None) {
-        handleSubscription(from, report, now);
-    }
     if (report.isForRelay) {
         relayReport(from, report, now);
     }
@@ -577,6 +578,7 @@
         }
     }
     m_peers.removeUnreachable(now, PeerRetention);
+    m_rateLimiter.setPeerCount(m_peers.size());
     logTraffic(now);
     if (const std::uint64_t n = m_requestLog.takeDroppedLines(); n > 0) {
         m_droppedLogLines += n;
--- a/src/mesh/meshnode_relay.cpp
+++ b/src/mesh/meshnode_relay.cpp
@@ -18,6 +18,8 @@
 constexpr Duration RelayTrial = 1500ms;
 // A node that has heard no relay for longer takes the full state, as relays keep the reports of the last seconds only.
 constexpr Duration HistoryTime = 2s;
+// A node that relays for itself may not be known to all others, or not know them; it asks another relay for all that it knows so often.
+constexpr Duration OwnRelayHistoryInterval = 10s;
 // Nodes that are lost and may be back are contacted in turn, so many at each report.
 constexpr std::size_t ContactedLostPeers = 2;
 // A peer that calls wait for and that sends nothing for this long is asked for a sign of life, and has this long to give one.
@@ -151,8 +153,12 @@
         complete.isUrgent = report.isUrgent;
         report = std::move(complete);
     }
+    const TimePoint now = bootTime();
+    if (m_relays.current() == m_settings.node && now - m_batchReceivedAt > OwnRelayHistoryInterval) {
+        report.subscription = ReportSubscription::Fleet;
+        report.history = ReportHistory::Full;
+    }
     if (m_relays.current() == relay) {
-        const TimePoint now = bootTime();
         report.subscription = ReportSubscription::Fleet;
         if (m_subscribedRelay != relay) {
             m_subscribedRelay = relay;
@@ -327,7 +333,7 @@
 {
     std::vector<const KnownPeer *> lost;
     for (const auto &[node, it] : m_peers.all()) {
-        if (!it.isReachable && it.lastReportAt) {
+        if (!it.isReachable) {
             lost.push_back(&it);
         }
     }
--- a/src/mesh/test/relays_test.cpp
+++ b/src/mesh/test/relays_test.cpp
@@ -131,6 +131,30 @@
     }
 }
 
+// A node that found nobody when it started goes on trying. The others know nobody, as the store turns them away.
+BOOST_AUTO_TEST_CASE(ANodeThatStartedAloneFindsThoseThatComeLater)
+{
+    MeshFleet fleet({"alpha", "alpha", "beta"});
+    publishRoutes(fleet);
+    fleet.waitUntilConnected();
+    for (std::size_t n = 0; n < 3; ++n) {
+        fleet.kill(n);
+    }
+    fleet.run([&] {
+        fleet.store().setUnavailable("node-1", true);
+        fleet.store().setUnavailable("node-2", true);
+    });
+    fleet.start(0);
+    std::this_thread::sleep_for(2500ms);
+    fleet.start(1);
+    fleet.start(2);
+    const auto end = std::chrono::steady_clock::now() + 20s;
+    while (fleet.metric(2, "banyankeel_reachable_peers") < 2 && std::chrono::steady_clock::now() < end) {
+        std::this_thread::sleep_for(50ms);
+    }
+    BOOST_CHECK_EQUAL(fleet.metric(2, "banyankeel_reachable_peers"), 2);
+}
+
 BOOST_AUTO_TEST_CASE(AllNodesStartAgainAndFindEachOther)
 {
     RelayFixture it;
