A peer that connects anew has lost its connection before; work for senders that went silent ends; usage is told at once while a burst is used up

Change: a single unexpected request is urgent while the copy of the bucket is below half; a new connection of the same process replaces its older ones after 1 s; a node asks the senders of what runs at its target for a sign of life as well.

--- a/src/coordination/allowance/fleetratelimiter.cpp
+++ b/src/coordination/allowance/fleetratelimiter.cpp
@@ -32,6 +32,9 @@
 /// A report is urgent if unexpected usage reaches this many requests and this fraction of the node's even share of the bucket.
 constexpr double UrgentRequests = 2;
 constexpr double UrgentBucketFraction = 0.4;
+/// Fewer requests are urgent while the bucket holds less than this fraction of its capacity.
+constexpr double LowFraction = 0.5;
+constexpr double UrgentRequestsWhenLow = 1;
 /// An organisation is left out of a report while the peers' extrapolation is off by less than this many requests, and its rate by at most this fraction.
 constexpr double OmittedRequests = 0.75;
 constexpr double OmittedRateFraction = 0.3;
@@ -300,7 +303,10 @@
 
 bool FleetRateLimiter::isUrgent(const Bucket &bucket, TimePoint now) const
 {
-    return unexpectedUsage(bucket, now) >= std::max(UrgentRequests, bucketCapacity(bucket) / nodeCount() * UrgentBucketFraction);
+    // While the burst is being used up, what many nodes have not told each other adds up to more than the limit leaves.
+    const bool isLow = bucket.tokens < LowFraction * bucketCapacity(bucket) * availableFraction();
+    const double requests = isLow ? UrgentRequestsWhenLow : UrgentRequests;
+    return unexpectedUsage(bucket, now) >= std::max(requests, bucketCapacity(bucket) / nodeCount() * UrgentBucketFraction);
 }
 
 bool FleetRateLimiter::isIncluded(const Bucket &bucket, ReportScope scope, TimePoint now) const
--- a/src/mesh/meshnode_relay.cpp
+++ b/src/mesh/meshnode_relay.cpp
@@ -345,20 +345,32 @@
 void MeshNode::Impl::checkAwaitedPeers(TimePoint now)
 {
     for (const auto &[node, since] : m_entry.oldestAttempts()) {
-        KnownPeer *peer = m_peers.find(node);
-        if (peer == nullptr || now - std::max(since, peer->lastMessageAt) < QuietPeerTime) {
-            continue;
+        if (KnownPeer *peer = m_peers.find(node)) {
+            checkAwaitedPeer(*peer, since, now);
         }
-        const bool isPinged = peer->pingedAt && *peer->pingedAt > peer->lastMessageAt;
-        if (!isPinged) {
-            peer->pingedAt = now;
-            sendCompleteReport(*peer, true);
-        } else if (now - *peer->pingedAt > PingTimeout) {
-            peer->pingedAt.reset();
-            logEvent(LogLevel::Info, "connection-quiet", {{"peer", node.text()}});
-            m_network->drop(peer->peer.endpoint, "no sign of life within the time limit");
+    }
+    // Work for a sender that can't be reached any more is of no use.
+    for (const auto &[sender, since] : m_target.oldestBySender()) {
+        if (KnownPeer *peer = sender == m_settings.peers ? nullptr : m_peers.find(sender)) {
+            checkAwaitedPeer(*peer, since, now);
         }
     }
 }
 
+void MeshNode::Impl::checkAwaitedPeer(KnownPeer &peer, TimePoint since, TimePoint now)
+{
+    if (now - std::max(since, peer.lastMessageAt) < QuietPeerTime) {
+        return;
+    }
+    const bool isPinged = peer.pingedAt && *peer.pingedAt > peer.lastMessageAt;
+    if (!isPinged) {
+        peer.pingedAt = now;
+        sendCompleteReport(peer, true);
+    } else if (now - *peer.pingedAt > PingTimeout) {
+        peer.pingedAt.reset();
+        logEvent(LogLevel::Info, "connection-quiet", {{"peer", peer.peer.node.text()}});
+        m_network->drop(peer.peer.endpoint, "no sign of life within the time limit");
+    }
+}
+
 } // namespace banyankeel
--- a/src/mesh/meshnodeimpl.h
+++ b/src/mesh/meshnodeimpl.h
@@ -127,6 +127,7 @@
     void contactLostPeers();
     /// Finds connections that have gone silent while calls wait on them.
     void checkAwaitedPeers(TimePoint now);
+    void checkAwaitedPeer(KnownPeer &peer, TimePoint since, TimePoint now);
     /// Tells the peers of the own region which configuration this node has and whether it reaches the store.
     void notifyRegion();
     /// Whether this node, which has no configuration yet, is to read it from the store.
--- a/src/mesh/meshtarget.cpp
+++ b/src/mesh/meshtarget.cpp
@@ -222,6 +222,16 @@
     }
 }
 
+std::map<Endpoint, TimePoint> MeshTarget::oldestBySender() const
+{
+    std::map<Endpoint, TimePoint> oldest;
+    for (const auto &[ticket, attempt] : m_attempts) {
+        const auto [it, isNew] = oldest.try_emplace(attempt.key.first, attempt.received);
+        it->second = std::min(it->second, attempt.received);
+    }
+    return oldest;
+}
+
 std::vector<PendingRequest> MeshTarget::pending() const
 {
     const TimePoint now = m_hooks.now();
--- a/src/mesh/meshtarget.h
+++ b/src/mesh/meshtarget.h
@@ -90,6 +90,8 @@
 
     /// Ends all requests: those that wait are refused, running ones are cancelled.
     void endAll();
+    /// Where requests that wait or run came from, with the arrival of the oldest of each sender.
+    [[nodiscard]] std::map<Endpoint, TimePoint> oldestBySender() const;
     /// The requests that wait or run, oldest first, for logs.
     [[nodiscard]] std::vector<PendingRequest> pending() const;
 
--- a/src/transport/peerconnection.h
+++ b/src/transport/peerconnection.h
@@ -47,7 +47,8 @@
     /// May throw Error to refuse a message as damaged.
     std::function<void(const Peer &from, Envelope envelope)> message;
     /// The last call for a connection. @param unsent messages that were not written to their end, so that the other side can't have received them.
-    std::function<void(const std::shared_ptr<PeerConnection> &connection, ConnectionEnd end, const std::string &problem, const std::vector<Envelope> &unsent)> ended;
+    std::function<void(const std::shared_ptr<PeerConnection> &connection, ConnectionEnd end, const std::string &problem, const std::vector<Envelope> &unsent)>
+        ended;
 };
 
 /// Hooks are called on the connection's strand. The other functions may be called from any thread.
@@ -96,6 +97,11 @@
     {
         return m_isReady;
     }
+    /// When the connection was made or begun.
+    [[nodiscard]] TimePoint begunAt() const
+    {
+        return m_begin;
+    }
     [[nodiscard]] bool isClosed() const
     {
         return m_isClosed;
--- a/src/transport/peernetwork.cpp
+++ b/src/transport/peernetwork.cpp
@@ -26,6 +26,8 @@
 constexpr std::size_t HighestFrameBytes = 0xffff'ffff;
 constexpr Duration ShortestSweep = std::chrono::milliseconds(5);
 constexpr Duration LongestSweep = std::chrono::milliseconds(500);
+// Two nodes that connect to each other at the same time both keep their connections.
+constexpr Duration ConnectRace = std::chrono::seconds(1);
 // When the process has no descriptor left, accepting would fail at once again.
 constexpr Duration AcceptPause = std::chrono::milliseconds(100);
 
@@ -286,7 +288,7 @@
     PeerLink &link = m_links[*connection->key()];
     for (const ConnectionPointer &it : older) {
         link.ended(it);
-        it->close(ConnectionEnd::Replaced, "replaced by a newer incarnation");
+        it->close(ConnectionEnd::Replaced, "replaced by a newer connection");
     }
     link.accepted(connection);
     return {};
@@ -299,8 +301,10 @@
     for (const ConnectionPointer &it : m_links[*connection->key()].ready()) {
         const Peer &known = it->peer();
         const Peer &peer = connection->peer();
-        // Another node at the same endpoint has taken it over.
-        if (known.node != peer.node || known.incarnation < peer.incarnation) {
+        // Another node at the same endpoint has taken it over; or the peer connects anew, which it does only if it has found its connections dead.
+        const bool isAbandoned = connection->role() == HelloRole::Acceptor && it != connection && known.incarnation == peer.incarnation
+            && connection->begunAt() - it->begunAt() > ConnectRace;
+        if (known.node != peer.node || known.incarnation < peer.incarnation || isAbandoned) {
             older.push_back(it);
         } else if (known.incarnation > peer.incarnation) {
             isOutdated = true;
--- a/src/transport/test/peernetwork_test.cpp
+++ b/src/transport/test/peernetwork_test.cpp
@@ -230,6 +230,26 @@
     BOOST_CHECK_EQUAL(node.records().losses.size(), 1);
 }
 
+// The connection before has gone silent without an end that this side could see, and answers would go into it.
+BOOST_AUTO_TEST_CASE(APeerThatConnectsAnewHasLostItsConnectionBefore)
+{
+    TestNode node("node");
+    const Peer self = silentPeer("peer");
+    RawPeer silent(node, self);
+    silent.sayHello();
+    silent.connection.write(frameOf({MessageType::Probe, "1"}));
+    BOOST_REQUIRE(node.receives(1));
+    std::this_thread::sleep_for(1100ms);
+    RawPeer next(node, self);
+    next.sayHello();
+    next.connection.write(frameOf({MessageType::Probe, "2"}));
+    BOOST_REQUIRE(node.receives(2));
+    BOOST_CHECK(node.loses(1));
+    node.network->send(self.endpoint, {MessageType::Probe, "answer"});
+    next.readFrame();
+    BOOST_CHECK_EQUAL(next.readFrame().payload, "answer");
+}
+
 BOOST_AUTO_TEST_CASE(IdleConnectionIsClosedWithoutALossAndMadeAnew)
 {
     // Shorter than the time for which a frame counts as recent, so that only one side may close.
