--- a/src/coordination/allowance/fleetratelimiter.cpp
+++ b/src/coordination/allowance/fleetratelimiter.cpp
@@ -17,6 +17,9 @@
 constexpr double RateTimeConstantSeconds = 1.5;
 /// Fraction of the permitted overshoot that is added to the bucket's capacity; the rest covers what peers admit between reports.
 constexpr double OvershootFraction = 0.2;
+/// Fraction of the burst that is kept back for requests that nodes have not told each other yet; each node may have some.
+constexpr double KeptBurstFractionPerNode = 0.0025;
+constexpr double MaxKeptBurstFraction = 0.25;
 /// Fraction of the rate that is distributed; the rest covers what nodes admit before they receive each other's reports.
 constexpr double DistributedRateFraction = 0.97;
 /// Maximum negative balance, in seconds of the rate. Unreported usage is paid back, but an old error must not lock callers out for long.
@@ -57,7 +60,8 @@
 double FleetRateLimiter::bucketCapacity(const Bucket &bucket) const
 {
     const double permittedOvershoot = m_settings.overshoot * (bucket.rate * seconds(m_settings.window) + bucket.burst) + m_settings.slack;
-    return bucket.burst + OvershootFraction * permittedOvershoot;
+    const double kept = std::min(KeptBurstFractionPerNode * nodeCount(), MaxKeptBurstFraction);
+    return bucket.burst * (1 - kept) + OvershootFraction * permittedOvershoot;
 }
 
 double FleetRateLimiter::localBucketCapacity(const Bucket &bucket) const
