--- a/src/coordination/allowance/fleetratelimiter.cpp
+++ b/src/coordination/allowance/fleetratelimiter.cpp
@@ -38,6 +38,8 @@
 /// Fewer requests are urgent while the bucket holds less than this fraction of its capacity.
 constexpr double LowFraction = 0.5;
 constexpr double UrgentRequestsWhenLow = 1;
+/// Use of all nodes, as a fraction of the rate, above which the burst counts as being used up.
+constexpr double OverRateFraction = 0.75;
 /// An organisation is left out of a report while the peers' extrapolation is off by less than this many requests, and its rate by at most this fraction.
 constexpr double OmittedRequests = 0.75;
 constexpr double OmittedRateFraction = 0.3;
@@ -309,7 +311,8 @@
 {
     // While the burst is being used up, what many nodes have not told each other adds up to more than the limit leaves.
     const bool isLow = bucket.tokens < LowFraction * bucketCapacity(bucket) * availableFraction();
-    const double requests = isLow ? UrgentRequestsWhenLow : UrgentRequests;
+    const bool isOverRate = bucket.peerRate + bucket.localRate > OverRateFraction * bucket.rate;
+    const double requests = isLow && isOverRate ? UrgentRequestsWhenLow : UrgentRequests;
     return unexpectedUsage(bucket, now) >= std::max(requests, bucketCapacity(bucket) / nodeCount() * UrgentBucketFraction);
 }
 
--- a/tests/integration/meshhosts.cpp
+++ b/tests/integration/meshhosts.cpp
@@ -66,7 +66,7 @@
 }
 } // namespace
 
-ScriptedTarget::ScriptedTarget(Endpoint listen, std::string name)
+ScriptedTarget::ScriptedTarget(const Endpoint &listen, std::string name)
     : m_name(std::move(name))
     , m_acceptor(m_context, {asio::ip::make_address(listen.address()), listen.port()})
     , m_reply([](const std::string &id, const std::string &) { return TargetReply{response(id, "ok")}; })
--- a/tests/integration/meshhosts.h
+++ b/tests/integration/meshhosts.h
@@ -38,7 +38,7 @@
     /// @param reply is called for each request with its id and path, from several threads.
     using Reply = std::function<TargetReply(const std::string &id, const std::string &path)>;
 
-    ScriptedTarget(Endpoint listen, std::string name);
+    ScriptedTarget(const Endpoint &listen, std::string name);
     ~ScriptedTarget();
     ScriptedTarget(const ScriptedTarget &) = delete;
     ScriptedTarget &operator=(const ScriptedTarget &) = delete;
