--- a/src/coordination/fleet/loadmerger.cpp
+++ b/src/coordination/fleet/loadmerger.cpp
@@ -84,6 +84,7 @@
         byService[it.report.service].push_back(&it.report);
     }
     std::vector<LoadReport> found;
+    found.reserve(byService.size());
     for (const auto &[service, reports] : byService) {
         found.push_back(mergeLoads(reports));
     }
--- a/src/mesh/test/largeresponses_test.cpp
+++ b/src/mesh/test/largeresponses_test.cpp
@@ -98,7 +98,7 @@
     it.fleet.setTargetHandler([left, body](const SeenRequest &seen, const HttpResponder &respond) {
         *body = respond.begin(
             headOf(seen), LargeBytes, {.drained = [body](std::size_t n) { body->write(std::string(n, 'x')); }, .clientLeft = [left] { left->set_value(); }});
-        body->write(std::string(256 * 1024, 'x'));
+        body->write(std::string(std::size_t{256} * 1024, 'x'));
     });
     RawConnection reader(it.fleet.callerEndpoint(0));
     reader.write(getRequest("/b/large", "r1") + "\r\n");
--- a/src/mesh/test/plannedstop_test.cpp
+++ b/src/mesh/test/plannedstop_test.cpp
@@ -104,8 +104,10 @@
     std::atomic<bool> isStopped = false;
     std::atomic<int> sent = 0;
     std::atomic<int> answered = 0;
+    constexpr int Callers = 8;
     std::vector<std::thread> callers;
-    for (int n = 0; n < 8; ++n) {
+    callers.reserve(Callers);
+    for (int n = 0; n < Callers; ++n) {
         callers.emplace_back([&, n] {
             for (int k = 0; !isStopped; ++k) {
                 try {
