--- a/review/programs/lost_followers.cc
+++ b/review/programs/lost_followers.cc
@@ -16,15 +16,16 @@
     publish(store, configuration(1, {{"r-a", "/a/", "safe", "archiv"}}, {"archiv"}, {"key-1", "key-2"}));
     std::vector<std::unique_ptr<Upstream>> upstreams;
     for (int n = 0; n < Machines; ++n) {
-        upstreams.push_back(std::make_unique<Upstream>(
-            addressOf(n), "i-" + std::to_string(n), "archiv", 100, it.record, [](const Arrival &) { return Upstream::Reply{5ms, 200}; }));
+        upstreams.push_back(std::make_unique<Upstream>(addressOf(n), "i-" + std::to_string(n), "archiv", 100, it.record, [](const Arrival &) {
+            return Upstream::Reply{5ms, 200};
+        }));
     }
     for (int n = 0; n < Machines; ++n) {
         const std::string region = n < PerRegion ? "muc" : "nue";
-        it.nodes.push_back(
-            std::make_unique<Node>(NodeSettings{n, "side-" + region + "-" + std::to_string(n), "archiv", region + (n % 2 == 0 ? "-a" : "-b"), region, store.door(n)},
-                                   it.folder,
-                                   it.program));
+        it.nodes.push_back(std::make_unique<Node>(
+            NodeSettings{n, "side-" + region + "-" + std::to_string(n), "archiv", region + (n % 2 == 0 ? "-a" : "-b"), region, store.door(n)},
+            it.folder,
+            it.program));
     }
     std::atomic<int> ids = 0;
     const auto ask = [&](std::size_t machine, const std::string &key) {
@@ -82,7 +83,8 @@
             threads.emplace_back([&, n] {
                 const auto sent = std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - published).count();
                 const auto [id, status] = ask(n, "key-2");
-                it.record.line(it.nodes[n]->name() + " answers " + std::to_string(status) + " to " + id + " with key-2, sent " + std::to_string(sent) + " ms after r2");
+                it.record.line(it.nodes[n]->name() + " answers " + std::to_string(status) + " to " + id + " with key-2, sent " + std::to_string(sent)
+                               + " ms after r2");
                 if (status == 200) {
                     const std::scoped_lock lock(mutex);
                     last[n] = std::max(last[n], sent);
