--- a/review/programs/large_uploads.cc
+++ b/review/programs/large_uploads.cc
@@ -11,7 +11,7 @@
     constexpr int Stayers = 5;
     constexpr std::size_t BodyBytes = 7'600'000;
     constexpr long MemoryKilobytes = 260 * 1024;
-    constexpr auto Time = 60s;
+    constexpr auto Time = 35s;
     Store store(addressOf(9), 1);
     Upstream upstream(addressOf(0), "i-0", "ausbilder", 104, it.record, [](const Arrival &arrival) {
         const auto varied = std::chrono::milliseconds(100 + std::hash<std::string>{}(arrival.id) % 600);
