--- a/review/programs/leaving_clients.cc
+++ b/review/programs/leaving_clients.cc
@@ -92,7 +92,8 @@
         thread.join();
     }
     ended = ended ? ended : node.ended();
-    it.record.result("answers " + std::to_string(answered) + ", clients that left " + std::to_string(left) + ", requests of kept connections that ran and got no answer "
-                     + std::to_string(unanswered) + ", node " + (ended ? "ended by itself with " + *ended : "still runs"));
+    it.record.result("answers " + std::to_string(answered) + ", clients that left " + std::to_string(left)
+                     + ", requests of kept connections that ran and got no answer " + std::to_string(unanswered) + ", node "
+                     + (ended ? "ended by itself with " + *ended : "still runs"));
     it.exit(ended || unanswered > 3 ? 1 : 0);
 }
