--- a/review/programs/large_uploads.cc
+++ b/review/programs/large_uploads.cc
@@ -9,9 +9,9 @@
     // Usually five clients upload; 1.8 times as many while many users come at once.
     const int uploaders = it.hasTrouble ? 9 : 5;
     constexpr int Stayers = 5;
-    constexpr std::size_t BodyBytes = 8'400'000;
+    constexpr std::size_t BodyBytes = 7'000'000;
     constexpr long MemoryKilobytes = 260 * 1024;
-    constexpr auto Time = 35s;
+    constexpr auto Time = 30s;
     Store store(addressOf(9), 1);
     Upstream upstream(addressOf(0), "i-0", "ausbilder", 104, it.record, [](const Arrival &arrival) {
         const auto varied = std::chrono::milliseconds(100 + std::hash<std::string>{}(arrival.id) % 600);
--- a/review/rig/rig.hh
+++ b/review/rig/rig.hh
@@ -11,6 +11,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -769,6 +770,8 @@
         const std::string secret = "FLEET_SECRET=replace-with-a-fleet-secret";
         m_id = fork();
         if (m_id == 0) {
+            // It ends with the case, however that ends.
+            prctl(PR_SET_PDEATHSIG, SIGKILL);
             dup2(m_settings.output < 0 ? log : m_settings.output, 1);
             dup2(m_settings.output < 0 ? log : m_settings.output, 2);
             char *arguments[] = {const_cast<char *>(m_program.c_str()), nullptr};
