Responses that break off during an upload, and invalid statuses, are no answers

Cause 1: a failed write takes the error of a reset off the socket, so that the next read ends like an orderly close, and a response that is framed by the end of the connection counted as complete. The pool now remembers that a write failed. Cause 2: statuses that end no request were skipped as interim responses (000; the call waited until its time limit, its body without a bound) or passed on (above 599). The reader rejects them as malformed, libcurl's results and answers between nodes are checked as well.

--- a/src/edge/httpmessagereader.cpp
+++ b/src/edge/httpmessagereader.cpp
@@ -137,6 +137,10 @@
 int HttpMessageReader::onHeadersComplete()
 {
     m_hasHeaders = true;
+    if (m_kind == HttpMessageKind::Response && (status() < LowestHttpStatus || status() > HighestHttpStatus)) {
+        fail(HttpParseError::Malformed);
+        return StopParsing;
+    }
     constexpr auto Unknown = static_cast<std::uint64_t>(-1);
     std::size_t headerBytes = m_target.size();
     for (const HttpHeader &it : m_headers) {
--- a/src/edge/pooledconnection.cpp
+++ b/src/edge/pooledconnection.cpp
@@ -24,7 +24,6 @@
 // Fraction of the server's Keep-Alive timeout for which a connection is reused. The rest allows for timer differences and network latency.
 constexpr double KeepAliveUseFraction = 0.6;
 
-constexpr int FirstFinalStatus = 200;
 // A response that is written twice follows the first one after a few calls at most.
 constexpr std::size_t MaxRepeatIds = 64;
 // More interim responses and responses to other calls than a server has reason to send before the response to one call.
@@ -116,6 +115,7 @@
         }
     }
     m_receivedAt.reset();
+    m_hasWriteFailed = false;
     m_reader.reset();
     m_reader.setLimits(m_call.stream ? streamLimits(m_shared->response) : m_shared->response);
     m_isStreaming = false;
@@ -160,6 +160,7 @@
         }
         if (ec) {
             // The server may have responded before it closed the connection, so pending input is read first.
+            m_hasWriteFailed = true;
             waitReadable();
             return;
         }
@@ -247,7 +248,7 @@
 bool PooledConnection::beginsStream()
 {
     const bool isLong = m_reader.bodyBytes() > StreamThresholdBytes || m_reader.bodyLength().value_or(0) > StreamThresholdBytes;
-    if (!isLong || m_reader.status() < FirstFinalStatus) {
+    if (!isLong || !isFinalStatus(m_reader.status())) {
         return false;
     }
     HttpResponse head{.status = m_reader.status(), .headers = m_reader.headers(), .body = {}};
@@ -272,7 +273,8 @@
 void PooledConnection::onEndOfInput(const std::error_code &ec)
 {
     if (m_state == State::Busy && m_reader.hasBegun()) {
-        if (ec == asio::error::eof) {
+        // A write that fails takes the socket's error, and the read after it ends like that of an orderly close.
+        if (ec == asio::error::eof && !m_hasWriteFailed) {
             m_reader.finish();
             if (m_reader.isComplete()) {
                 onResponseComplete();
@@ -294,7 +296,7 @@
 {
     const bool allowsReuse = m_reader.allowsReuse();
     HttpResponse response = m_reader.takeResponse();
-    const bool isFinal = response.status >= FirstFinalStatus;
+    const bool isFinal = isFinalStatus(response.status);
     m_reader.reset();
     if (m_isHeadRequest) {
         m_reader.expectNoBody();
--- a/src/edge/pooledconnection.h
+++ b/src/edge/pooledconnection.h
@@ -108,6 +108,8 @@
     PoolCall m_call;
     std::string m_head;
     std::size_t m_sentBytes = 0;
+    /// Whether sending the request has failed, so that an end of the connection may be a reset.
+    bool m_hasWriteFailed = false;
     std::string m_unparsed;
     bool m_isReadPending = false;
     bool m_isHeadRequest = false;
--- a/src/edge/test/httpconnectionpool_test.cpp
+++ b/src/edge/test/httpconnectionpool_test.cpp
@@ -266,6 +266,60 @@
     BOOST_CHECK(server->readToEnd().find("GET") == std::string::npos);
 }
 
+// Failure: a server answers a long upload early, with a response that ends with the connection, and resets the connection while the upload is being written.
+// The failed write takes the error off the socket, so that the next read ends as if the server had closed the connection in an orderly way.
+BOOST_AUTO_TEST_CASE(AnEarlyResponseWithoutALengthThatIsResetIsNotComplete)
+{
+    for (const std::size_t bytes : {std::size_t{5}, StreamThresholdBytes * 2}) {
+        PoolFixture pool;
+        std::future<HttpResult> result = pool.send("1", std::string(std::size_t{32} * 1024 * 1024, 'x'));
+        const std::unique_ptr<RawConnection> server = pool.accept();
+        server->readUntil("\r\n\r\n");
+        server->write(OkHead + "\r\n" + std::string(bytes, 'y'));
+        // The response arrives before the reset.
+        std::this_thread::sleep_for(50ms);
+        server->reset();
+        const HttpResult found = result.get();
+        BOOST_CHECK(!found.response);
+        BOOST_CHECK(found.runState == RunState::MayHaveRun);
+        BOOST_CHECK(found.reason == Reason::BodyIncomplete);
+    }
+}
+
+// Failure: a server in trouble sends a status that no final response has, which was taken for an interim response, or for one to be passed on.
+BOOST_AUTO_TEST_CASE(AResponseWithAnInvalidStatusFailsItsCallAtOnce)
+{
+    for (const std::string status : {"000", "001", "099", "600", "999"}) {
+        BOOST_TEST_CONTEXT(status)
+        {
+            PoolFixture pool;
+            std::future<HttpResult> result = pool.send("1");
+            const std::unique_ptr<RawConnection> server = pool.accept();
+            server->readUntil("\r\n\r\n");
+            server->write("HTTP/1.1 " + status + " Trouble\r\nId: 1\r\nContent-Length: 5\r\n\r\nhello");
+            BOOST_REQUIRE(result.wait_for(5s) == std::future_status::ready);
+            const HttpResult found = result.get();
+            BOOST_CHECK(!found.response);
+            BOOST_CHECK(found.runState == RunState::MayHaveRun);
+            BOOST_CHECK(found.reason == Reason::BodyIncomplete);
+        }
+    }
+}
+
+// Failure: the body of such a response has no limit while its call takes the response in parts.
+BOOST_AUTO_TEST_CASE(ALongResponseWithAnInvalidStatusIsNotKept)
+{
+    PoolFixture pool;
+    const auto parts = std::make_shared<std::string>();
+    std::future<HttpResult> result = pool.sendStreaming("1", parts, StreamThresholdBytes * 4);
+    const std::unique_ptr<RawConnection> server = pool.accept();
+    server->readUntil("\r\n\r\n");
+    server->write("HTTP/1.1 000 Trouble\r\nContent-Length: 1000000\r\n\r\n" + std::string(StreamThresholdBytes, 'x'));
+    BOOST_REQUIRE(result.wait_for(5s) == std::future_status::ready);
+    BOOST_CHECK(result.get().reason == Reason::BodyIncomplete);
+    BOOST_CHECK_EQUAL(*parts, "");
+}
+
 BOOST_AUTO_TEST_CASE(CancellingACallClosesItsConnection)
 {
     PoolFixture pool;
--- a/src/protocol/callmessages.cpp
+++ b/src/protocol/callmessages.cpp
@@ -237,7 +237,6 @@
 
 CallAnswer CallAnswer::decode(const Envelope &envelope)
 {
-    constexpr std::uint64_t HighestStatus = 999;
     constexpr std::uint64_t HighestCount = std::numeric_limits<std::uint32_t>::max();
     requireType(envelope, MessageType::CallAnswer, "call answer");
     WireReader reader(envelope.payload, "call answer");
@@ -252,7 +251,10 @@
     std::optional<HttpResponse> response;
     if (!reader.absent()) {
         HttpResponse http{};
-        http.status = static_cast<int>(reader.number("status", HighestStatus));
+        http.status = static_cast<int>(reader.number("status", HighestHttpStatus));
+        if (!isFinalStatus(http.status)) {
+            throw ProtocolError("call answer: field status: " + std::to_string(http.status) + " found, that of a final response expected");
+        }
         http.headers = readHeaders(reader);
         http.body = reader.bytes("body");
         response = std::move(http);
--- a/src/protocol/httpmessage.h
+++ b/src/protocol/httpmessage.h
@@ -33,6 +33,17 @@
 };
 
 /// A response with its complete body.
+/// Range of the status codes that HTTP defines.
+inline constexpr int LowestHttpStatus = 100;
+inline constexpr int HighestHttpStatus = 599;
+
+/// Whether @p status ends a request. Lower ones are interim, others are not defined.
+constexpr bool isFinalStatus(int status)
+{
+    constexpr int LowestFinalStatus = 200;
+    return status >= LowestFinalStatus && status <= HighestHttpStatus;
+}
+
 struct HttpResponse {
     int status;
     std::vector<HttpHeader> headers;
--- a/src/protocol/test/callmessages_test.cpp
+++ b/src/protocol/test/callmessages_test.cpp
@@ -61,6 +61,21 @@
     BOOST_CHECK(CallAnswer::decode(success.encode()) == success);
 }
 
+// Failure: a status that ends no request reaches the caller of another node.
+BOOST_AUTO_TEST_CASE(AnAnswerWithAnInvalidStatusIsRejected)
+{
+    for (const int status : {0, 99, 100, 199, 600, 999}) {
+        const CallAnswer answer{
+            .attempt = AttemptId{2},
+            .verdict = Verdict::ran(),
+            .response = HttpResponse{.status = status, .headers = {}, .body = {}},
+            .hint = {},
+            .retriesSpent = 0,
+        };
+        BOOST_CHECK_THROW(CallAnswer::decode(answer.encode()), ProtocolError);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(EveryTruncationOfARequestIsRejected)
 {
     const Envelope whole = sampleRequest().encode();
--- a/src/transport/httptransfer.cpp
+++ b/src/transport/httptransfer.cpp
@@ -260,6 +260,9 @@
     if (!isBodyFramed(status)) {
         return {std::nullopt, RunState::MayHaveRun, Reason::BodyIncomplete, "the response has neither a length nor chunks"};
     }
+    if (!isFinalStatus(static_cast<int>(status))) {
+        return {std::nullopt, RunState::MayHaveRun, Reason::BodyIncomplete, "the response has no valid status"};
+    }
     m_response.status = static_cast<int>(status);
     return {std::move(m_response), RunState::Ran, Reason::None, {}};
 }
--- a/src/transport/test/http_test.cpp
+++ b/src/transport/test/http_test.cpp
@@ -169,6 +169,41 @@
     }
 }
 
+// Failure: a server in trouble sends a status that no final response has, and its caller gets it as an answer.
+BOOST_AUTO_TEST_CASE(AResponseWithAnInvalidStatusIsNoAnswer)
+{
+    for (const std::string status : {"000", "099", "600", "999"}) {
+        BOOST_TEST_CONTEXT(status)
+        {
+            RawServer raw;
+            HttpClient client({});
+            auto answer = ask(client, raw.endpoint(), get("/"));
+            RawConnection connection = raw.accept();
+            connection.readUntil("\r\n\r\n");
+            connection.write("HTTP/1.1 " + status + " Trouble\r\nContent-Length: 5\r\n\r\n12345");
+            connection.close();
+            const HttpResult it = await(answer);
+            BOOST_CHECK(!it.response);
+            BOOST_CHECK(it.runState == RunState::MayHaveRun);
+        }
+    }
+}
+
+// Failure: a server answers a long upload early, with a response that ends with the connection, and resets the connection while the upload is being written.
+BOOST_AUTO_TEST_CASE(AnEarlyResponseWithoutALengthThatIsResetIsNoAnswer)
+{
+    RawServer raw;
+    HttpClient client({});
+    auto answer = ask(client, raw.endpoint(), {.method = "POST", .target = "/", .headers = {}, .body = std::string(std::size_t{8} * 1024 * 1024, 'x')});
+    RawConnection connection = raw.accept();
+    connection.readUntil("\r\n\r\n");
+    connection.write("HTTP/1.1 200 OK\r\n\r\n12345");
+    connection.reset();
+    const HttpResult it = await(answer);
+    BOOST_CHECK(!it.response);
+    BOOST_CHECK(it.runState == RunState::MayHaveRun);
+}
+
 BOOST_AUTO_TEST_CASE(AChunkedResponseIsDeliveredWhole)
 {
     RawServer raw;
--- a/src/transport/test/loopback.h
+++ b/src/transport/test/loopback.h
@@ -89,6 +89,13 @@
         return bytes;
     }
 
+    void reset()
+    {
+        std::error_code ec;
+        m_socket.set_option(asio::socket_base::linger(true, 0), ec);
+        m_socket.close(ec);
+    }
+
     void close()
     {
         std::error_code ec;
