Routes rank the requests of organisations of one priority

Cause: an organisation's priority replaced that of the route. Where all organisations have one, as on the users' sites, requests of urgent routes were shed and retried like any others, against the promise that important requests are shed last. Change: MeshConfiguration::rankOf() orders the pairs (priority of the organisation or else of the route, priority of the route); the rank is the priority level for admission, queues, root admission and retries.

--- a/src/mesh/meshentry.cpp
+++ b/src/mesh/meshentry.cpp
@@ -45,11 +45,6 @@
     return RequestId::derive(organisation == nullptr ? InternalCalls.text() : organisation->name.text(), requestId);
 }
 
-PriorityLevel priorityOf(const MeshOrganisation *organisation, const MeshRoute &route)
-{
-    return organisation != nullptr && organisation->priority ? *organisation->priority : route.priority;
-}
-
 PriorityLevel rootPriority(PriorityLevel level)
 {
     return static_cast<PriorityLevel>(1 + std::min(static_cast<std::uint8_t>(level), MaxRootPriority));
@@ -96,7 +91,7 @@
         refuse(respond, requestId, Verdict::refused(Reason::Draining, DefaultRetryAfter), now);
         return;
     }
-    if (const std::optional<Verdict> refusal = checkAdmission(caller, *route, rootOf(caller.organisation, requestId), now)) {
+    if (const std::optional<Verdict> refusal = checkAdmission(caller, *route, *configuration, rootOf(caller.organisation, requestId), now)) {
         refuse(respond, requestId, *refusal, now);
         return;
     }
@@ -105,7 +100,7 @@
         .configuration = configuration,
         .route = route,
         .requestId = requestId,
-        .call = buildCall(std::move(request), *route, caller, requestId, *remaining),
+        .call = buildCall(std::move(request), *route, caller, configuration->rankOf(caller.organisation, *route), requestId, *remaining),
         .isRoot = caller.isRoot,
         .received = now,
         .deadline = now + *remaining,
@@ -162,7 +157,8 @@
     request.call.rootPriority = caller->rootPriority;
 }
 
-std::optional<Verdict> MeshEntry::checkAdmission(const Caller &caller, const MeshRoute &route, const RequestId &root, TimePoint now)
+std::optional<Verdict>
+MeshEntry::checkAdmission(const Caller &caller, const MeshRoute &route, const MeshConfiguration &configuration, const RequestId &root, TimePoint now)
 {
     if (caller.organisation != nullptr && !m_rateLimiter.take(caller.organisation->name, now)) {
         return Verdict::refused(Reason::RateExceeded, m_rateLimiter.timeUntilNextToken(caller.organisation->name));
@@ -170,7 +166,7 @@
     if (!caller.isRoot) {
         return std::nullopt;
     }
-    const RootClass rootClass{priorityOf(caller.organisation, route), requestKindOf(route.name)};
+    const RootClass rootClass{configuration.rankOf(caller.organisation, route), requestKindOf(route.name)};
     m_meter.rootOffered(rootClass, now);
     if (m_admission.admits(rootClass, root, now)) {
         return std::nullopt;
@@ -198,7 +194,8 @@
     return std::min<Duration>(route.timeLimit, std::chrono::milliseconds(ms));
 }
 
-CallRequest MeshEntry::buildCall(HttpRequest request, const MeshRoute &route, const Caller &caller, const std::string &requestId, Duration remaining)
+CallRequest
+MeshEntry::buildCall(HttpRequest request, const MeshRoute &route, const Caller &caller, PriorityLevel rank, const std::string &requestId, Duration remaining)
 {
     request.headers = endToEndHeaders(std::move(request.headers));
     std::erase_if(request.headers, [this](const HttpHeader &it) {
@@ -220,7 +217,7 @@
                 .hasStableRoot = false,
                 .organisation = organisation,
                 .key = NoKey,
-                .priority = caller.isRoot ? rootPriority(priorityOf(caller.organisation, route)) : InternalCallPriority,
+                .priority = caller.isRoot ? rootPriority(rank) : InternalCallPriority,
                 .remaining = remaining,
                 .retryBudget = 0,
                 .depth = 0,
@@ -232,7 +229,7 @@
         .targetIncarnation = {},
         .http = std::move(request),
         .rootKind = requestKindOf(route.name),
-        .rootPriority = priorityOf(caller.organisation, route),
+        .rootPriority = rank,
     };
 }
 
--- a/src/mesh/meshentry.h
+++ b/src/mesh/meshentry.h
@@ -158,7 +158,8 @@
     };
 
     [[nodiscard]] Caller identifyCaller(const HttpRequest &request, const MeshRoute &route, const MeshConfiguration &configuration) const;
-    [[nodiscard]] CallRequest buildCall(HttpRequest request, const MeshRoute &route, const Caller &caller, const std::string &requestId, Duration remaining);
+    [[nodiscard]] CallRequest
+    buildCall(HttpRequest request, const MeshRoute &route, const Caller &caller, PriorityLevel rank, const std::string &requestId, Duration remaining);
     [[nodiscard]] std::optional<Duration> remainingTime(const HttpRequest &request, const MeshRoute &route) const;
     /// Chooses a target and sends it the request. Returns a verdict if no target is available.
     std::optional<Verdict> startAttempt(const RequestPointer &request);
@@ -171,7 +172,8 @@
     /// Records a call made by this host's target, and copies root, priority and retry share from the request that made it.
     void recordInternalCall(EntryRequest &request, TimePoint now);
     /// Checks rate limit and root admission. Returns a verdict if the request is refused.
-    [[nodiscard]] std::optional<Verdict> checkAdmission(const Caller &caller, const MeshRoute &route, const RequestId &root, TimePoint now);
+    [[nodiscard]] std::optional<Verdict>
+    checkAdmission(const Caller &caller, const MeshRoute &route, const MeshConfiguration &configuration, const RequestId &root, TimePoint now);
     void finish(const RequestPointer &request, Verdict verdict, CallAnswer *answer);
     void refuse(const HttpResponder &respond, const std::string &requestId, const Verdict &verdict, TimePoint received);
     void handleCallerDisconnect(const RequestPointer &request);
--- a/src/state/meshconfiguration.cpp
+++ b/src/state/meshconfiguration.cpp
@@ -4,6 +4,9 @@
 
 #include <algorithm>
 #include <cctype>
+#include <cstddef>
+#include <limits>
+#include <set>
 #include <utility>
 
 namespace banyankeel
@@ -27,6 +30,7 @@
         m_services.emplace(it.name, &it);
     }
     checkRoutes();
+    rankPriorities();
     for (const MeshRoute &it : m_objects.routes) {
         m_routes[normalisedHost(it.host)].push_back(&it);
     }
@@ -59,6 +63,29 @@
     }
 }
 
+MeshConfiguration::PriorityPair MeshConfiguration::prioritiesOf(const MeshOrganisation *organisation, const MeshRoute &route)
+{
+    return {organisation != nullptr && organisation->priority ? *organisation->priority : route.priority, route.priority};
+}
+
+void MeshConfiguration::rankPriorities()
+{
+    std::set<PriorityPair> found;
+    for (const MeshRoute &route : m_objects.routes) {
+        found.insert(prioritiesOf(nullptr, route));
+        for (const MeshOrganisation &organisation : m_objects.organisations) {
+            found.insert(prioritiesOf(&organisation, route));
+        }
+    }
+    m_priorities.assign(found.begin(), found.end());
+}
+
+PriorityLevel MeshConfiguration::rankOf(const MeshOrganisation *organisation, const MeshRoute &route) const
+{
+    const auto rank = std::ranges::lower_bound(m_priorities, prioritiesOf(organisation, route)) - m_priorities.begin();
+    return static_cast<PriorityLevel>(std::min<std::ptrdiff_t>(rank, std::numeric_limits<std::uint8_t>::max()));
+}
+
 const MeshRoute *MeshConfiguration::findRoute(std::string_view host, std::string_view target) const
 {
     const auto found = m_routes.find(normalisedHost(host));
--- a/src/state/meshconfiguration.h
+++ b/src/state/meshconfiguration.h
@@ -17,6 +17,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace banyankeel
@@ -128,6 +129,9 @@
     [[nodiscard]] const MeshOrganisation *findOrganisation(std::string_view key) const;
     [[nodiscard]] const MeshOrganisation *findOrganisation(const OrganisationId &name) const;
     [[nodiscard]] const MeshService *findService(const ServiceName &name) const;
+    /// The rank of the requests of @p organisation, null for none, on @p route among all that callers may send: 0 is shed last. The priority of the
+    /// organisation goes before that of the route, which ranks the requests of organisations of one priority among each other.
+    [[nodiscard]] PriorityLevel rankOf(const MeshOrganisation *organisation, const MeshRoute &route) const;
     /// Whether callers must send a key on routes that are not anonymous.
     [[nodiscard]] bool needsKeys() const
     {
@@ -145,7 +149,12 @@
     template<typename Value>
     using StringMap = std::unordered_map<std::string, Value, StringHash, std::equal_to<>>;
 
+    /// The priority that counts first, and the route's own one.
+    using PriorityPair = std::pair<PriorityLevel, PriorityLevel>;
+
     void checkRoutes() const;
+    void rankPriorities();
+    [[nodiscard]] static PriorityPair prioritiesOf(const MeshOrganisation *organisation, const MeshRoute &route);
 
     MeshObjects m_objects;
     /// Routes by host, ordered by descending prefix length.
@@ -153,6 +162,8 @@
     StringMap<const MeshOrganisation *> m_organisationsByKey;
     std::unordered_map<OrganisationId, const MeshOrganisation *> m_organisationsByName;
     std::unordered_map<ServiceName, const MeshService *> m_services;
+    /// In ascending order; the position is the rank.
+    std::vector<PriorityPair> m_priorities;
 };
 
 using MeshConfigurationPointer = std::shared_ptr<const MeshConfiguration>;
