--- a/review/rig-2/rig.hh
+++ b/review/rig-2/rig.hh
@@ -470,13 +470,21 @@
     {
         const auto get = [&query](const char *name) { return query.contains(name) ? query.at(name) : std::string(); };
         const std::string end = get(names::fields::RangeEnd);
+        // The page allows 500 rows an answer.
+        const std::string limit = get(names::fields::RowLimit);
+        const std::size_t most = std::min<std::size_t>(limit.empty() ? 500 : static_cast<std::size_t>(std::atoi(limit.c_str())), 500);
         Json found = Json::array();
+        bool hasMore = false;
         for (const auto &[at, row] : m_rows) {
             if (at.first == get(names::fields::Table) && at.second >= get(names::fields::RangeStart) && (end.empty() || at.second < end)) {
+                hasMore = found.size() >= most;
+                if (hasMore) {
+                    break;
+                }
                 found.push_back(rowOf(at, row));
             }
         }
-        return {{names::fields::Rows, found}, {"hasMore", false}};
+        return {{names::fields::Rows, found}, {"hasMore", hasMore}};
     }
     Json changes(const std::string &table, std::uint64_t after)
     {
@@ -761,11 +769,31 @@
         const std::optional<Message> answer = readMessage(connection, 1000);
         return answer ? answer->status() : 0;
     }
+    // Adds a machine whose process is not started yet, and which is gone again before its upstream is there.
+    std::size_t addPassing(const MachineSettings &settings, const std::string &ip, const std::string &name)
+    {
+        auto machine = std::make_unique<Machine>();
+        machine->settings = settings;
+        machine->ip = ip;
+        machine->name = name;
+        machine->id = "i-" + name;
+        machine->folder = m_folder + "/" + name;
+        std::filesystem::create_directories(machine->folder);
+        machines.push_back(std::move(machine));
+        return machines.size() - 1;
+    }
+    void killNode(std::size_t n)
+    {
+        ::kill(machines[n]->pid, SIGKILL);
+        waitpid(machines[n]->pid, nullptr, 0);
+        machines[n]->pid = -1;
+    }
     void startBeats()
     {
-        m_beats = std::thread([this] {
+        // Machines that are added later have no upstream.
+        m_beats = std::thread([this, count = machines.size()] {
             while (!m_isStopped) {
-                for (std::size_t n = 0; n < machines.size() && !m_isStopped; ++n) {
+                for (std::size_t n = 0; n < count && !m_isStopped; ++n) {
                     if (!isSilent(n)) {
                         beat(n, names::values::Ready);
                     }
