--- a/review/programs-2/many_restarts.cc
+++ b/review/programs-2/many_restarts.cc
@@ -1,4 +1,4 @@
-// An upstream is stopped as planned and started again beside a process that goes on, more often than a departure list has room for.
+// One machine is stopped as planned and started again more often than a list of departures has room for, while another machine goes on.
 
 #include "review/rig-2/rig.hh"
 
@@ -7,13 +7,15 @@
 namespace
 {
 constexpr int Kept = 8;
-constexpr int Restarts = 18;
-constexpr int FewRestarts = 3;
-constexpr int DrainMs = 2200;
+constexpr int Restarts = 16;
+constexpr int FewRestarts = 2;
+constexpr int DrainMs = 2050;
+constexpr int StopLimitMs = 8000;
 constexpr int LongWorkMs = 1500;
 constexpr std::size_t LongBytes = 200'000;
 constexpr int AnswerLimitMs = 6000;
-constexpr int ObservedMs = 15'000;
+constexpr int ContactWindowMs = 3000;
+constexpr int ObservedMs = 3000;
 
 std::atomic<int> closedWithoutAnswer = 0;
 std::atomic<int> answered = 0;
@@ -63,7 +65,7 @@
     }
 }
 
-// A planned stop of the upstream of machine @p n, and its next start.
+// A planned stop of machine @p n and its next start: its upstream leaves and ends, then its process is stopped; both come back, the upstream anew.
 void restart(Rig &it, std::size_t n, int number)
 {
     it.setSilent(n, true);
@@ -71,11 +73,20 @@
     it.record.line("leaving of " + old + " acknowledged: " + std::to_string(it.beat(n, names::values::Draining)));
     pause(DrainMs);
     it.record.line("goodbye of " + old + " acknowledged: " + std::to_string(it.report(n, "DELETE", old, "")));
-    pause(300);
+    it.signalNode(n, SIGTERM);
+    const Clock::time_point limit = Clock::now() + Milliseconds(StopLimitMs);
+    for (int status = 0; !it.hasEnded(n, status);) {
+        if (Clock::now() > limit) {
+            throw CantRun("a process does not stop");
+        }
+        pause(10);
+    }
+    it.start(n);
+    it.waitReady(n);
     it.renewUpstream(n, "i-" + std::to_string(n) + "-" + std::to_string(number));
     it.record.line("start of " + it.machines[n]->id + " acknowledged: " + std::to_string(it.beat(n, names::values::Ready)));
     it.setSilent(n, false);
-    pause(500);
+    pause(200);
 }
 } // namespace
 
@@ -89,15 +100,18 @@
         for (int n = 0; n < restarts; ++n) {
             restart(it, 1, n + 2);
         }
-        pause(3000);
         it.record.line("the last one of " + std::to_string(restarts) + " restarts is over");
         std::vector<std::thread> kept;
         for (int n = 0; n < Kept; ++n) {
             kept.emplace_back([&it, n] { keep(it, n); });
         }
-        pause(3000);
-        // The upstream beside the consumers, which these don't use.
-        restart(it, 0, 2);
+        // From here on both machines have run for more than the contact window.
+        pause(ContactWindowMs + 900);
+        // Both upstreams leave as planned; they go on serving.
+        for (const std::size_t n : {std::size_t{1}, std::size_t{0}}) {
+            it.setSilent(n, true);
+            it.record.line("leaving of " + it.machines[n]->id + " acknowledged: " + std::to_string(it.beat(n, names::values::Draining)));
+        }
         pause(ObservedMs);
         isOver = true;
         for (std::thread &thread : kept) {
