Names that another system has chosen are taken as they are

Cause: Identifier checked the rule for names of our own interface (1 to 64 letters, digits, '-', '_' and '.'), and names of the platform had to pass it too. The first one that did not threw out of the decoder of the whole document. The same rule kept a process with such a name in its settings from starting, a target with such a service from being served, and readers of peer messages and host rows repeated it.

Change: Identifier::verbatim() takes any text. The platform's names and those in messages and rows are made with it; our own interface still checks. Places that relied on the rule escape now: headers (percent-encoding of control characters and outer spaces), logs, labels of metrics; root admission keeps reports by a typed key in place of a separator. A host row holds as many quarantined requests as fit into 32 KiB, so that long names can't keep departures out of the store.

Why it works: no reader is left that refuses a name which its sender could have had, and no output trusts a name's characters.

--- a/src/coordination/demand/rootadmission.cpp
+++ b/src/coordination/demand/rootadmission.cpp
@@ -278,19 +278,18 @@
 
 void RootAdmission::noteReport(const NodeId &node, LoadReport report, TimePoint now)
 {
-    m_reports.insert_or_assign(node.text(), ReceivedReport{std::move(report), now});
+    m_reports.insert_or_assign(node, ReceivedReport{std::move(report), now});
 }
 
 void RootAdmission::noteRegionLoad(const RegionName &region, LoadReport load, TimePoint now)
 {
-    // No name contains a line feed.
-    std::string source = region.text() + '\n' + load.service.text();
-    m_reports.insert_or_assign(std::move(source), ReceivedReport{std::move(load), now});
+    const ReportSource source = std::pair(region, load.service);
+    m_reports.insert_or_assign(source, ReceivedReport{std::move(load), now});
 }
 
 void RootAdmission::removeReport(const NodeId &node)
 {
-    m_reports.erase(node.text());
+    m_reports.erase(node);
 }
 
 FleetLoad RootAdmission::fleetLoad() const
--- a/src/coordination/demand/rootadmission.h
+++ b/src/coordination/demand/rootadmission.h
@@ -24,8 +24,8 @@
 #include <compare>
 #include <cstddef>
 #include <map>
-#include <string>
 #include <utility>
+#include <variant>
 #include <vector>
 
 namespace banyankeel
@@ -117,6 +117,8 @@
     }
 
 private:
+    using ReportSource = std::variant<NodeId, std::pair<RegionName, ServiceName>>;
+
     struct ReceivedReport {
         LoadReport report;
         TimePoint at;
@@ -128,7 +130,7 @@
     RootAdmissionSettings m_settings;
     std::map<RequestKind, std::vector<std::pair<ServiceName, double>>> m_services;
     /// By node, or by region and service.
-    std::map<std::string, ReceivedReport> m_reports;
+    std::map<ReportSource, ReceivedReport> m_reports;
     RootFractions m_admitted;
     RootFractions m_retried;
     TimePoint m_updatedAt{};
--- a/src/mesh/meshentry.cpp
+++ b/src/mesh/meshentry.cpp
@@ -203,9 +203,9 @@
             || isSameHeaderName(it.name, m_headers.organisation) || isSameHeaderName(it.name, m_headers.callerService)
             || isSameHeaderName(it.name, m_headers.expectedTarget) || isSameHeaderName(it.name, "Expect");
     });
-    request.headers.push_back({m_headers.callerService, m_settings.service.text()});
+    request.headers.push_back({m_headers.callerService, headerValueOf(m_settings.service.text())});
     if (caller.organisation != nullptr) {
-        request.headers.push_back({m_headers.organisation, caller.organisation->name.text()});
+        request.headers.push_back({m_headers.organisation, headerValueOf(caller.organisation->name.text())});
     }
     const OrganisationId &organisation = caller.organisation == nullptr ? InternalCalls : caller.organisation->name;
     const RequestId root = rootOf(caller.organisation, requestId);
--- a/src/mesh/meshmetrics.cpp
+++ b/src/mesh/meshmetrics.cpp
@@ -1,5 +1,7 @@
 #include "mesh/meshmetrics.h"
 
+#include "telemetry/metrics.h"
+
 #include <fmt/format.h>
 
 namespace banyankeel
@@ -54,10 +56,10 @@
         text += fmt::format("banyankeel_requests_total{{{}}} {}\n", outcomeLabels(outcome.first, outcome.second), n);
     }
     for (const auto &[route, histogram] : m_routes) {
-        text += histogram.exposition("banyankeel_request_seconds", fmt::format("route=\"{}\"", route));
+        text += histogram.exposition("banyankeel_request_seconds", fmt::format("route=\"{}\"", labelValueOf(route)));
     }
     for (const auto &[key, n] : m_notServed) {
-        text += fmt::format("banyankeel_not_served_total{{organisation=\"{}\",reason=\"{}\"}} {}\n", key.first, nameOf(key.second), n);
+        text += fmt::format("banyankeel_not_served_total{{organisation=\"{}\",reason=\"{}\"}} {}\n", labelValueOf(key.first), nameOf(key.second), n);
     }
     for (const auto &[outcome, n] : m_attempts) {
         text += fmt::format("banyankeel_attempts_total{{{}}} {}\n", outcomeLabels(outcome.first, outcome.second), n);
--- a/src/mesh/meshnode.cpp
+++ b/src/mesh/meshnode.cpp
@@ -252,7 +252,7 @@
     probeStoredTarget();
     confirmTarget();
     // Peers of the region have been notified by the peer of the region that provided this configuration.
-    const KnownPeer *peer = source == ConfigurationFeed::StoreSource ? nullptr : m_peers.find(NodeId(std::string(source)));
+    const KnownPeer *peer = source == ConfigurationFeed::StoreSource ? nullptr : m_peers.find(NodeId::verbatim(std::string(source)));
     if ((peer == nullptr || m_peers.distanceTo(peer->peer.place) == PeerDistance::OtherRegion) && spreadsConfiguration(bootTime())) {
         notifyRegion();
     }
--- a/src/mesh/test/mesh_test.cpp
+++ b/src/mesh/test/mesh_test.cpp
@@ -46,6 +46,32 @@
     BOOST_CHECK_EQUAL(std::ranges::count(headers, "Organisation", &HttpHeader::name), 1);
 }
 
+BOOST_AUTO_TEST_CASE(ATargetSeesTheNameOfAnOrganisationAsItIsAndNothingThatItForges)
+{
+    const std::vector<std::pair<std::string, std::string>> names{
+        {"North Airport", "North Airport"},
+        {"M\u00fcnchen", "M\u00fcnchen"},
+        {"100% \"sure\"", "100% \"sure\""},
+        {"a\r\nCaller: another", "a%0D%0ACaller: another"},
+        {" a ", "%20a%20"},
+    };
+    MeshFleet fleet({"alpha"});
+    publishRoutes(fleet);
+    fleet.sendHeartbeat(0);
+    for (const auto &[name, value] : names) {
+        fleet.publish([&name = name](MeshObjects &it) { it.organisations = {{OrganisationId::verbatim(name), {"k1"}, std::nullopt, 0, 0}}; });
+        const std::string expected = value;
+        const auto isSeen = [&] {
+            fleet.requestUntil(0, getRequest("/a/1", "r"), "200");
+            return findHeader(fleet.seenRequests().back().request.headers, "Organisation") == expected;
+        };
+        while (!isSeen()) {
+            std::this_thread::sleep_for(10ms);
+        }
+        BOOST_CHECK(findHeader(fleet.seenRequests().back().request.headers, "Caller") == "alpha");
+    }
+}
+
 BOOST_AUTO_TEST_CASE(AWithdrawnKeyStopsWorkingOnAnOpenConnection)
 {
     MeshFleet fleet({"alpha"});
--- a/src/protocol/callmessages.cpp
+++ b/src/protocol/callmessages.cpp
@@ -81,8 +81,8 @@
 {
     const RequestId root = readRequestId(reader, "root");
     const bool hasStableRoot = reader.flag("stable root");
-    OrganisationId organisation(reader.text("organisation"));
-    KeyId key(reader.text("key"));
+    auto organisation = reader.name<OrganisationId>("organisation");
+    auto key = reader.name<KeyId>("key");
     const auto priority = static_cast<PriorityLevel>(reader.number("priority", std::numeric_limits<std::uint8_t>::max()));
     const Duration remaining = reader.duration("remaining");
     const auto budget = static_cast<std::uint16_t>(reader.number("retry budget", std::numeric_limits<std::uint16_t>::max()));
@@ -181,8 +181,8 @@
     WireReader reader(envelope.payload, "call request");
     const AttemptId attempt = readAttempt(reader);
     CallContext context = readContext(reader);
-    ServiceName service(reader.text("service"));
-    RouteName route(reader.text("route"));
+    auto service = reader.name<ServiceName>("service");
+    auto route = reader.name<RouteName>("route");
     const std::optional<RequestId> claim = readOptionalId(reader, "claim");
     const std::optional<RequestId> repeatId = readOptionalId(reader, "repeat id");
     const auto incarnation = static_cast<Incarnation>(reader.number("incarnation"));
--- a/src/protocol/configurationmessages.cpp
+++ b/src/protocol/configurationmessages.cpp
@@ -39,7 +39,7 @@
     if (reader.absent()) {
         return std::nullopt;
     }
-    NodeId node(reader.text("reader"));
+    auto node = reader.name<NodeId>("reader");
     const auto incarnation = static_cast<Incarnation>(reader.number("incarnation"));
     const std::uint64_t sequence = reader.number("sequence");
     const bool isStoreFailing = reader.flag("store failing");
--- a/src/protocol/hostrow.cpp
+++ b/src/protocol/hostrow.cpp
@@ -5,12 +5,18 @@
 #include "protocol/wirereader.h"
 #include "protocol/wirewriter.h"
 
+
+#include <algorithm>
+#include <span>
+
 namespace banyankeel
 {
 
 namespace
 {
 constexpr std::size_t MaxQuarantines = 1024;
+// Leaves room for the rest of the row below the 64 KiB that a store takes.
+constexpr std::size_t MaxQuarantineBytes = std::size_t{32} * 1024;
 
 void writeTarget(WireWriter &writer, const std::optional<StoredTarget> &target)
 {
@@ -32,10 +38,24 @@
     return StoredTarget{std::move(boot), slots};
 }
 
+/// The number of quarantines, from the first one on, that fit into a row.
+std::size_t storableCount(const std::vector<StoredQuarantine> &quarantines)
+{
+    // Hash, time and the headers of the texts.
+    constexpr std::size_t FixedBytes = 32;
+    std::size_t bytes = 0;
+    const auto isBeyond = [&bytes](const StoredQuarantine &it) {
+        bytes += it.fingerprint.organisation.text().size() + it.fingerprint.route.text().size() + FixedBytes;
+        return bytes > MaxQuarantineBytes;
+    };
+    return static_cast<std::size_t>(std::ranges::find_if(quarantines, isBeyond) - quarantines.begin());
+}
+
 void writeQuarantines(WireWriter &writer, const std::vector<StoredQuarantine> &quarantines)
 {
-    writer.count(quarantines.size());
-    for (const StoredQuarantine &it : quarantines) {
+    const std::size_t count = storableCount(quarantines);
+    writer.count(count);
+    for (const StoredQuarantine &it : std::span(quarantines).first(count)) {
         writer.text(it.fingerprint.organisation.text());
         writer.text(it.fingerprint.route.text());
         writer.number(it.fingerprint.requestHash);
@@ -49,8 +69,8 @@
     std::vector<StoredQuarantine> quarantines;
     quarantines.reserve(n);
     for (std::size_t i = 0; i < n; ++i) {
-        OrganisationId organisation(reader.text("organisation"));
-        RouteName route(reader.text("route"));
+        auto organisation = reader.name<OrganisationId>("organisation");
+        auto route = reader.name<RouteName>("route");
         const std::uint64_t hash = reader.number("request hash");
         const auto micros = static_cast<std::int64_t>(reader.number("quarantined until"));
         quarantines.push_back({{std::move(organisation), std::move(route), hash}, WallTime(std::chrono::microseconds(micros))});
--- a/src/protocol/hostrow.h
+++ b/src/protocol/hostrow.h
@@ -46,7 +46,7 @@
     std::optional<StoredTarget> target;
     /// Departures of the host's target, newest last.
     std::vector<TargetDeparture> departures;
-    /// Requests that the node has found to crash targets.
+    /// Requests that the node has found to crash targets. Stored as far as they fit into a row.
     std::vector<StoredQuarantine> quarantines = {};
 
     [[nodiscard]] std::string encode() const;
--- a/src/protocol/httpheaders.cpp
+++ b/src/protocol/httpheaders.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <array>
-#include <string>
 
 namespace banyankeel
 {
@@ -47,6 +46,24 @@
 }
 } // namespace
 
+std::string headerValueOf(std::string_view text)
+{
+    constexpr std::string_view Digits = "0123456789ABCDEF";
+    constexpr unsigned char FirstPrintable = 0x20;
+    constexpr unsigned char Delete = 0x7f;
+    std::string value;
+    for (std::size_t n = 0; n < text.size(); ++n) {
+        const auto byte = static_cast<unsigned char>(text[n]);
+        const bool isAtEnd = n == 0 || n + 1 == text.size();
+        if (byte < FirstPrintable || byte == Delete || (byte == ' ' && isAtEnd)) {
+            value += {'%', Digits[byte >> 4U], Digits[byte & 0xfU]};
+        } else {
+            value += text[n];
+        }
+    }
+    return value;
+}
+
 bool isSameHeaderName(std::string_view left, std::string_view right)
 {
     return left.size() == right.size() && strncasecmp(left.data(), right.data(), left.size()) == 0;
--- a/src/protocol/loadreport.cpp
+++ b/src/protocol/loadreport.cpp
@@ -74,7 +74,7 @@
 
 LoadReport readLoadReport(WireReader &reader)
 {
-    LoadReport report{ServiceName(reader.text("load service")), 0, 0, {}, {}, {}, {}};
+    LoadReport report{reader.name<ServiceName>("load service"), 0, 0, {}, {}, {}, {}};
     report.slots = static_cast<std::uint32_t>(reader.number("slots", std::numeric_limits<std::uint32_t>::max()));
     report.load = readFixedPoint(reader, "load", RateDenominator);
     const std::size_t roots = reader.count("roots", MaxEntries);
@@ -98,7 +98,7 @@
     }
     const std::size_t services = reader.count("services", MaxEntries);
     for (std::size_t i = 0; i < services; ++i) {
-        ServiceName service(reader.text("called service"));
+        auto service = reader.name<ServiceName>("called service");
         const double perSecond = readFixedPoint(reader, "calls per second", RateDenominator);
         const double rejectedShare = readFixedPoint(reader, "rejected share", ShareDenominator);
         report.services.push_back({std::move(service), perSecond, rejectedShare, readFixedPoint(reader, "repeats left", 1)});
--- a/src/protocol/membershipmessages.cpp
+++ b/src/protocol/membershipmessages.cpp
@@ -178,7 +178,7 @@
 {
     requireType(envelope, MessageType::DirectoryQuery, "directory query");
     WireReader reader(envelope.payload, "directory query");
-    ServiceName service(reader.text("service"));
+    auto service = reader.name<ServiceName>("service");
     reader.finish();
     return {std::move(service)};
 }
@@ -196,7 +196,7 @@
 {
     requireType(envelope, MessageType::DirectoryAnswer, "directory answer");
     WireReader reader(envelope.payload, "directory answer");
-    ServiceName service(reader.text("service"));
+    auto service = reader.name<ServiceName>("service");
     const bool isComplete = reader.flag("complete");
     auto records = readRecords(reader);
     reader.finish();
--- a/src/protocol/nodereport.cpp
+++ b/src/protocol/nodereport.cpp
@@ -85,7 +85,7 @@
     std::vector<OrganisationUsage> uses;
     uses.reserve(n);
     for (std::size_t i = 0; i < n; ++i) {
-        OrganisationId organisation(reader.text("organisation"));
+        auto organisation = reader.name<OrganisationId>("organisation");
         const auto taken = static_cast<std::int64_t>(reader.number("taken")) - TakenOffset;
         const double rate = static_cast<double>(reader.number("rate")) / RateStepsPerUnit;
         uses.push_back({std::move(organisation), taken, rate});
--- a/src/protocol/quarantinemessages.cpp
+++ b/src/protocol/quarantinemessages.cpp
@@ -30,14 +30,14 @@
 
 CrashReport readReport(WireReader &reader)
 {
-    OrganisationId organisation(reader.text("organisation"));
-    RouteName route(reader.text("route"));
+    auto organisation = reader.name<OrganisationId>("organisation");
+    auto route = reader.name<RouteName>("route");
     const std::uint64_t hash = reader.number("request hash");
     const auto kind = static_cast<CrashReportKind>(reader.number("kind", static_cast<std::uint64_t>(CrashReportKind::Released)));
     if (kind < CrashReportKind::Crashed) {
         throw ProtocolError("crash report: field kind: 0 found, 1 to 3 allowed");
     }
-    NodeId node(reader.text("node"));
+    auto node = reader.name<NodeId>("node");
     const auto incarnation = static_cast<Incarnation>(reader.number("incarnation"));
     const auto crashes = static_cast<std::uint16_t>(reader.number("crashes", std::numeric_limits<std::uint16_t>::max()));
     std::optional<Duration> remaining;
--- a/src/protocol/quotamessages.cpp
+++ b/src/protocol/quotamessages.cpp
@@ -53,7 +53,7 @@
 
 QuotaRequestItem readAskItem(WireReader &reader)
 {
-    OrganisationId organisation(reader.text("organisation"));
+    auto organisation = reader.name<OrganisationId>("organisation");
     const QuotaRequestId ask = readAskId(reader, "ask");
     const QuotaRequestId applied = readAskId(reader, "applied");
     const Fence fence = readFence(reader);
@@ -116,7 +116,7 @@
     QuotaGrant message{shard, readFence(reader), {}};
     const std::size_t n = reader.count("items", MaxItems);
     for (std::size_t i = 0; i < n; ++i) {
-        OrganisationId organisation(reader.text("organisation"));
+        auto organisation = reader.name<OrganisationId>("organisation");
         const QuotaRequestId ask = readAskId(reader, "ask");
         const MilliTokens rate = readAmount(reader, "rate");
         const MilliTokens capacity = readAmount(reader, "capacity");
@@ -148,7 +148,7 @@
     QuotaReturn message{readShard(reader), {}};
     const std::size_t n = reader.count("items", MaxItems);
     for (std::size_t i = 0; i < n; ++i) {
-        OrganisationId organisation(reader.text("organisation"));
+        auto organisation = reader.name<OrganisationId>("organisation");
         const QuotaRequestId ask = readAskId(reader, "ask");
         message.items.push_back({std::move(organisation), ask, readAmount(reader, "tokens")});
     }
--- a/src/protocol/reportbatch.cpp
+++ b/src/protocol/reportbatch.cpp
@@ -36,7 +36,7 @@
 
 RelayedReport readEntry(WireReader &reader)
 {
-    NodeId node(reader.text("node"));
+    auto node = reader.name<NodeId>("node");
     const auto incarnation = static_cast<Incarnation>(reader.number("incarnation"));
     std::optional<Peer> peer;
     if (!reader.absent()) {
@@ -82,7 +82,7 @@
     }
     const std::size_t loads = reader.count("loads", MaxLoads);
     for (std::size_t i = 0; i < loads; ++i) {
-        RegionName region(reader.text("load region"));
+        auto region = reader.name<RegionName>("load region");
         batch.loads.push_back({std::move(region), readLoadReport(reader)});
     }
     batch.configuration = static_cast<ConfigurationVersion>(reader.number("configuration"));
--- a/src/protocol/statecodec.cpp
+++ b/src/protocol/statecodec.cpp
@@ -174,10 +174,10 @@
 
 Peer readPeer(WireReader &reader)
 {
-    NodeId node(reader.text("node"));
+    auto node = reader.name<NodeId>("node");
     const auto incarnation = static_cast<Incarnation>(reader.number("incarnation"));
-    RegionName region(reader.text("region"));
-    FailureDomainName failureDomain(reader.text("failure domain"));
+    auto region = reader.name<RegionName>("region");
+    auto failureDomain = reader.name<FailureDomainName>("failure domain");
     Endpoint endpoint = Endpoint::parse(reader.text("endpoint"));
     return {std::move(node), incarnation, {std::move(region), std::move(failureDomain)}, std::move(endpoint)};
 }
@@ -195,7 +195,7 @@
 TargetRecord readTargetRecord(WireReader &reader)
 {
     Peer node = readPeer(reader);
-    ServiceName service(reader.text("service"));
+    auto service = reader.name<ServiceName>("service");
     const std::uint64_t state = reader.number("target state", static_cast<std::uint64_t>(TargetState::Gone));
     if (state < static_cast<std::uint64_t>(TargetState::Starting)) {
         throw ProtocolError("target record: field target state: " + std::to_string(state) + " found, 1 to 4 allowed");
--- a/src/protocol/test/nodereport_test.cpp
+++ b/src/protocol/test/nodereport_test.cpp
@@ -1,6 +1,7 @@
 #include "protocol/nodereport.h"
 
 #include "protocol/hostrow.h"
+#include "protocol/reportbatch.h"
 #include "protocol/test/messagechecks.h"
 
 using namespace banyankeel;
@@ -27,6 +28,50 @@
     });
 }
 
+// Failure: a name that a node has taken over from another system is refused by its peers.
+BOOST_AUTO_TEST_CASE(NamesOfOtherSystemsReadBack)
+{
+    for (const std::string &name : std::vector<std::string>{"North Airport", "M\u00fcnchen\n", std::string(10'000, 'n'), ""}) {
+        const Peer peer{NodeId::verbatim(name), Incarnation{7}, {RegionName::verbatim(name), FailureDomainName::verbatim(name)}, Endpoint("10.0.0.1", 7000)};
+        const auto service = ServiceName::verbatim(name);
+        const RequestFingerprint fingerprint{OrganisationId::verbatim(name), RouteName::verbatim(name), 7};
+        const NodeReport report{
+            .asksReply = false,
+            .isComplete = true,
+            .configuration = ConfigurationVersion{12},
+            .target = TargetRecord{peer, service, TargetState::Serving, 8, 8, 3},
+            .departures = {},
+            .receiverDepartures = {},
+            .uses = {{OrganisationId::verbatim(name), 1, 1}},
+            .isStopping = false,
+            .load = LoadReport{service, 8, 2.5, {}, {}, {}, {{service, 1, 0, 3}}},
+            .crashReports = {{fingerprint, CrashReportKind::Crashed, NodeId::verbatim(name), Incarnation{3}}},
+        };
+        BOOST_CHECK(NodeReport::decode(report.encode()) == report);
+        const ReportBatch batch{.entries = {{peer.node, peer.incarnation, peer, Duration::zero(), report.encode().payload}},
+                                .loads = {{peer.place.region, *report.load}}};
+        BOOST_CHECK(ReportBatch::decode(batch.encode()) == batch);
+        const HostRow row{peer, std::nullopt, {}, {{fingerprint, WallTime(std::chrono::seconds(5))}}};
+        BOOST_CHECK(HostRow::decode(row.encode()) == row);
+    }
+}
+
+// Failure: the store takes no row of this size, so that departures are not kept.
+BOOST_AUTO_TEST_CASE(LongNamesOfQuarantinedRequestsDoNotKeepAHostRowOutOfTheStore)
+{
+    const Peer peer{NodeId("host-1"), Incarnation{7}, {RegionName("north"), FailureDomainName("north-a")}, Endpoint("10.0.0.1", 7000)};
+    HostRow row{peer, std::nullopt, {{"i-0", WallTime::max()}}};
+    for (std::uint64_t n = 0; n < 64; ++n) {
+        row.quarantines.push_back({{OrganisationId::verbatim(std::string(2'000, 'o')), RouteName("r"), n}, WallTime(std::chrono::seconds(5))});
+    }
+    const std::string bytes = row.encode();
+    BOOST_CHECK_LE(bytes.size(), 48U * 1024);
+    const HostRow found = HostRow::decode(bytes);
+    BOOST_CHECK(found.departures == row.departures);
+    BOOST_REQUIRE(!found.quarantines.empty());
+    BOOST_CHECK(found.quarantines.front() == row.quarantines.front());
+}
+
 BOOST_AUTO_TEST_CASE(AnIncrementalReportWithoutChangesIsSmall)
 {
     const NodeReport report{
--- a/src/protocol/wirereader.h
+++ b/src/protocol/wirereader.h
@@ -3,7 +3,7 @@
 // Reads the fields of a message in the order in which WireWriter wrote them.
 //
 //   WireReader reader(payload, "call request");
-//   ServiceName service(reader.text("service"));
+//   auto service = reader.name<ServiceName>("service");
 //   reader.finish();
 
 #include "state/time.h"
@@ -27,6 +27,12 @@
     WireReader(std::string_view payload, std::string_view message);
 
     std::string text(std::string_view field);
+    /// Reads an Identifier, which was checked, if at all, where it was chosen.
+    template<typename Name>
+    Name name(std::string_view field)
+    {
+        return Name::verbatim(text(field));
+    }
     std::string bytes(std::string_view field);
     std::uint64_t number(std::string_view field);
     /// Reads a number that must not exceed @p highest.
--- a/src/state/identifier.h
+++ b/src/state/identifier.h
@@ -2,8 +2,8 @@
 
 // Strongly typed object names. Each kind has its own type, so that an organisation's name can't be passed as a key's.
 //
-//   OrganisationId organisation("lufthafen");
-//   ServiceName service("zertifikat");
+//   OrganisationId organisation("lufthafen");                            // checked
+//   ServiceName service = ServiceName::verbatim("Zertifikate und mehr");   // as it is
 
 #include "state/errors.h"
 
@@ -11,6 +11,7 @@
 #include <functional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace banyankeel
 {
@@ -21,7 +22,7 @@
 void checkIdentifier(std::string_view kind, std::string_view text);
 } // namespace internal
 
-/// The validated name of an object of one kind. Immutable; copying it copies the string.
+/// The name of an object of one kind. Immutable; copying it copies the string.
 template<typename Tag>
 class Identifier
 {
@@ -33,6 +34,12 @@
         internal::checkIdentifier(Tag::Kind, m_text);
     }
 
+    /// Takes over a name that another system has chosen, or that has been checked where it was chosen: any text, which may need escaping where it is shown.
+    static Identifier verbatim(std::string text)
+    {
+        return Identifier(std::move(text), Unchecked());
+    }
+
     [[nodiscard]] const std::string &text() const
     {
         return m_text;
@@ -41,6 +48,14 @@
     friend auto operator<=>(const Identifier &, const Identifier &) = default;
 
 private:
+    struct Unchecked {
+    };
+
+    Identifier(std::string text, Unchecked /*unused*/)
+        : m_text(std::move(text))
+    {
+    }
+
     std::string m_text;
 };
 
--- a/src/state/test/identifier_test.cpp
+++ b/src/state/test/identifier_test.cpp
@@ -10,6 +10,7 @@
 
 BOOST_AUTO_TEST_CASE(InvalidNameIsRejected)
 {
+    BOOST_CHECK_EQUAL(ServiceName::verbatim("a b\n").text(), "a b\n");
     BOOST_CHECK_THROW(ServiceName("a b"), IdentifierError);
     BOOST_CHECK_THROW(ServiceName(""), IdentifierError);
     BOOST_CHECK_THROW(ServiceName(std::string(65, 'a')), IdentifierError);
--- a/src/telemetry/logging.cpp
+++ b/src/telemetry/logging.cpp
@@ -1,6 +1,9 @@
 #include "telemetry/logging.h"
 
 #include <easylogging++.h>
+#include <fmt/format.h>
+
+#include <algorithm>
 
 INITIALIZE_EASYLOGGINGPP
 
@@ -9,38 +12,46 @@
 
 namespace
 {
+// Other systems choose some of the names that are logged.
+constexpr std::size_t MaxValueBytes = 4096;
+
+bool isControl(char c)
+{
+    constexpr unsigned char FirstPrintable = 0x20;
+    constexpr char Delete = 0x7f;
+    return static_cast<unsigned char>(c) < FirstPrintable || c == Delete;
+}
+
 bool needsQuotes(std::string_view value)
 {
-    return value.empty() || value.find_first_of(" \t\r\n\"=") != std::string_view::npos;
+    return value.empty() || value.find_first_of(" \"=") != std::string_view::npos || std::ranges::any_of(value, isControl);
 }
 
-void appendValue(std::string &line, std::string_view value)
+void appendQuoted(std::string &line, std::string_view value)
 {
-    if (!needsQuotes(value)) {
-        line += value;
-        return;
-    }
     line += '"';
     for (const char c : value) {
-        if (c == '"' || c == '\\') {
-            line += '\\';
+        if (c == '\n' || c == '\r' || c == '\t') {
+            line += ' ';
+        } else if (isControl(c)) {
+            line += fmt::format("\\x{:02x}", static_cast<unsigned char>(c));
+        } else {
+            line += c == '"' || c == '\\' ? "\\" : "";
+            line += c;
         }
-        line += c == '\n' || c == '\r' ? ' ' : c;
     }
     line += '"';
 }
 
-std::string formatLine(std::string_view event, std::initializer_list<LogField> fields)
+void appendValue(std::string &line, std::string_view value)
 {
-    std::string line = "event=";
-    line += event;
-    for (const auto &[key, value] : fields) {
-        line += ' ';
-        line += key;
-        line += '=';
-        appendValue(line, value);
+    const std::string_view shown = value.substr(0, MaxValueBytes);
+    if (needsQuotes(shown)) {
+        appendQuoted(line, shown);
+    } else {
+        line += shown;
     }
-    return line;
+    line += shown.size() < value.size() ? "..." : "";
 }
 
 void enableLevels(el::Configurations &configurations, LogLevel minimumLevel)
@@ -57,6 +68,19 @@
 }
 } // namespace
 
+std::string formatLogLine(std::string_view event, std::initializer_list<LogField> fields)
+{
+    std::string line = "event=";
+    line += event;
+    for (const auto &[key, value] : fields) {
+        line += ' ';
+        line += key;
+        line += '=';
+        appendValue(line, value);
+    }
+    return line;
+}
+
 void configureLogging(LogLevel minimumLevel)
 {
     el::Configurations configurations;
@@ -71,7 +95,7 @@
 
 void logEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
 {
-    const std::string line = formatLine(event, fields);
+    const std::string line = formatLogLine(event, fields);
     switch (level) {
     case LogLevel::Debug:
         LOG(DEBUG) << line;
--- a/src/telemetry/logging.h
+++ b/src/telemetry/logging.h
@@ -19,9 +19,13 @@
     Error,
 };
 
-/// Key and value of a log line. Values that are empty or contain white space, quotes or "=" are quoted.
+/// Key and value of a log line. Values that are empty or contain white space, control characters, quotes or "=" are quoted. Control characters are
+/// escaped, line ends are written as spaces, and long values are cut.
 using LogField = std::pair<std::string_view, std::string>;
 
+/// The text of a line, without time and level.
+std::string formatLogLine(std::string_view event, std::initializer_list<LogField> fields);
+
 /// Configures logging for this process; events below @p minimumLevel are discarded. Call once, before the first event is logged.
 void configureLogging(LogLevel minimumLevel);
 
--- a/src/telemetry/metrics.cpp
+++ b/src/telemetry/metrics.cpp
@@ -15,13 +15,27 @@
     }
     series += '{';
     for (std::size_t i = 0; i < labels.size(); ++i) {
-        series += fmt::format("{}{}=\"{}\"", i == 0 ? "" : ",", labels[i].first, labels[i].second);
+        series += fmt::format("{}{}=\"{}\"", i == 0 ? "" : ",", labels[i].first, labelValueOf(labels[i].second));
     }
     series += '}';
     return series;
 }
 } // namespace
 
+std::string labelValueOf(std::string_view text)
+{
+    std::string value;
+    for (const char c : text) {
+        if (c == '\n') {
+            value += "\\n";
+        } else {
+            value += c == '"' || c == '\\' ? "\\" : "";
+            value += c;
+        }
+    }
+    return value;
+}
+
 Counter &Metrics::counter(std::string_view name, const MetricLabels &labels)
 {
     const std::lock_guard lock(m_mutex);
--- a/src/telemetry/metrics.h
+++ b/src/telemetry/metrics.h
@@ -35,6 +35,9 @@
     std::atomic<std::uint64_t> m_value{0};
 };
 
+/// Returns @p text as it is written between the quotes of a label.
+std::string labelValueOf(std::string_view text);
+
 using MetricLabels = std::vector<std::pair<std::string, std::string>>;
 
 /// Metrics registry of one process. Thread-safe; references to counters stay valid for the lifetime of the registry.
