Nodes and peers keep the same, latest departures of a target

Cause: a node keeps 16 departures of its target, but its peers kept all that it had ever sent, and told them back in their reports. The node's reader allowed 16 and threw, which closed the connection. Two more faults of the same list: relays passed such lists on, where they were left out as unreadable; and a node with a full list that merged the older one of a peer dropped its own latest departure, so that a target that had announced that it leaves got requests again.

Change: DepartureList keeps departures for the node and for its peers: the latest 16 by the start time of the boot. What is merged can't push out what is later.

Why it works: both sides bound the list in the same place and by the same order.

--- a/src/coordination/targetlife/targetlifecycle.cpp
+++ b/src/coordination/targetlife/targetlifecycle.cpp
@@ -1,7 +1,5 @@
 #include "coordination/targetlife/targetlifecycle.h"
 
-#include "protocol/targetcodec.h"
-
 #include <algorithm>
 
 namespace banyankeel
@@ -18,34 +16,16 @@
 
 bool TargetLifecycle::isLeaving(const TargetBoot &boot) const
 {
-    return std::ranges::any_of(m_leavings,
+    return std::ranges::any_of(m_leavings.all(),
                                [&boot](const TargetDeparture &it) { return it.name == boot.name && (!boot.startedAt || *boot.startedAt <= it.startedUntil); });
 }
 
-bool TargetLifecycle::add(const TargetDeparture &leaving)
-{
-    const auto known = std::ranges::find(m_leavings, leaving.name, &TargetDeparture::name);
-    if (known != m_leavings.end()) {
-        if (known->startedUntil >= leaving.startedUntil) {
-            return false;
-        }
-        m_leavings.erase(known);
-    }
-    m_leavings.push_back(leaving);
-    if (m_leavings.size() > MaxDepartures) {
-        m_leavings.erase(m_leavings.begin());
-    }
-    return true;
-}
-
 TargetChange TargetLifecycle::mergeLeavings(const std::vector<TargetDeparture> &departures)
 {
     const bool wasServing = serving() != nullptr;
     const bool isFirst = !m_hasLoadedLeavings;
     m_hasLoadedLeavings = true;
-    for (const TargetDeparture &it : departures) {
-        add(it);
-    }
+    m_leavings.merge(departures);
     if (wasServing && serving() == nullptr) {
         return TargetChange::Leaving;
     }
@@ -64,7 +44,7 @@
     }
     const bool wasLeaving = !isNewBoot && isLeaving();
     if (report.isLeaving) {
-        add({report.boot.name, report.boot.startedAt.value_or(WallTime::max())});
+        m_leavings.add({report.boot.name, report.boot.startedAt.value_or(WallTime::max())});
     }
     m_current = report;
     if (isLeaving()) {
@@ -82,7 +62,7 @@
     }
     const bool wasServing = serving() != nullptr;
     const std::optional<WallTime> known = isCurrent ? m_current->boot.startedAt : startedAt;
-    add({name, known.value_or(now)});
+    m_leavings.add({name, known.value_or(now)});
     return wasServing && serving() == nullptr ? TargetChange::Leaving : TargetChange::None;
 }
 
--- a/src/coordination/targetlife/targetlifecycle.h
+++ b/src/coordination/targetlife/targetlifecycle.h
@@ -8,6 +8,7 @@
 //   TargetChange change = life.handleReport(report);
 //   if (life.serving()) ...                // requests may go to this boot
 
+#include "coordination/targetlife/departurelist.h"
 #include "protocol/nodereport.h"
 #include "state/targetreport.h"
 #include "state/time.h"
@@ -68,19 +69,18 @@
     /// To be persisted for later processes. Newest last; bounded.
     [[nodiscard]] const std::vector<TargetDeparture> &departures() const
     {
-        return m_leavings;
+        return m_leavings.all();
     }
 
 private:
     [[nodiscard]] bool isLeaving(const TargetBoot &boot) const;
-    bool add(const TargetDeparture &leaving);
 
     [[nodiscard]] bool isConfirmed() const;
 
     std::optional<WallTime> m_confirmUntil;
     std::optional<TargetBoot> m_confirmed;
     std::optional<TargetReport> m_current;
-    std::vector<TargetDeparture> m_leavings;
+    DepartureList m_leavings;
     bool m_hasLoadedLeavings = false;
 };
 
--- a/src/coordination/targetlife/test/targetlifecycle_test.cpp
+++ b/src/coordination/targetlife/test/targetlifecycle_test.cpp
@@ -1,5 +1,7 @@
 #include "coordination/targetlife/targetlifecycle.h"
 
+#include "protocol/targetcodec.h"
+
 #include <boost/test/unit_test.hpp>
 
 using namespace banyankeel;
@@ -153,4 +155,50 @@
     BOOST_CHECK(life.serving() == nullptr && life.unconfirmed() == nullptr);
 }
 
+// Failure: departures that a peer still remembers push out the last one, and the target that leaves gets requests again.
+BOOST_AUTO_TEST_CASE(OldDeparturesThatAPeerRemembersDoNotReplaceTheLastOne)
+{
+    for (const bool hasStartTime : {true, false}) {
+        BOOST_TEST_CONTEXT(hasStartTime)
+        {
+            std::vector<TargetDeparture> all;
+            for (std::size_t n = 0; n <= MaxDepartures; ++n) {
+                all.push_back({"t" + std::to_string(n), hasStartTime ? Start + std::chrono::seconds(n) : WallTime::max()});
+            }
+            TargetLifecycle life;
+            life.mergeLeavings({all.begin() + 1, all.end()});
+            life.mergeLeavings({all.begin(), all.end() - 1});
+            BOOST_CHECK_EQUAL(life.departures().size(), MaxDepartures);
+            life.handleReport(reportOf(all.back().name, Start + std::chrono::seconds(MaxDepartures), 1));
+            BOOST_CHECK(life.serving() == nullptr);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(ADepartureThatOnlyAPeerRemembersIsTheLastOne)
+{
+    for (const bool hasStartTime : {true, false}) {
+        std::vector<TargetDeparture> all;
+        for (std::size_t n = 0; n <= MaxDepartures; ++n) {
+            all.push_back({"t" + std::to_string(n), hasStartTime ? Start + std::chrono::seconds(n) : WallTime::max()});
+        }
+        DepartureList departures;
+        departures.merge({all.begin(), all.end() - 1});
+        departures.merge({all.begin() + 1, all.end()});
+        BOOST_CHECK(departures.all() == std::vector<TargetDeparture>(all.begin() + 1, all.end()));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(ADepartureThatIsAnnouncedIsKeptWhateverIsKnownOfOthers)
+{
+    DepartureList departures;
+    for (std::size_t n = 0; n < MaxDepartures; ++n) {
+        departures.add({"t" + std::to_string(n), WallTime::max()});
+    }
+    BOOST_CHECK(departures.add({"last", Start}));
+    BOOST_CHECK(!departures.add({"last", Start}));
+    BOOST_CHECK_EQUAL(departures.all().size(), MaxDepartures);
+    BOOST_CHECK_EQUAL(departures.all().front().name, "last");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/mesh/meshnode_fleet.cpp
+++ b/src/mesh/meshnode_fleet.cpp
@@ -265,7 +265,7 @@
     NodeReport report = briefReport();
     report.target = m_record;
     report.departures = m_life.departures();
-    report.receiverDepartures = to.departures;
+    report.receiverDepartures = to.departures.all();
     report.rateLimit = m_rateLimits.last();
     report.receiverRateLimit = to.rateLimit;
     report.crashReports = m_crashes.quarantined();
--- a/src/mesh/meshnode_relay.cpp
+++ b/src/mesh/meshnode_relay.cpp
@@ -264,7 +264,7 @@
         report.isComplete = usage.isComplete;
         report.configuration = it.configuration;
         report.target = it.target;
-        report.departures = it.departures;
+        report.departures = it.departures.all();
         report.uses = std::move(usage.usage);
         report.isStopping = it.isStopping;
         report.isStoreReachable = it.isStoreReachable;
--- a/src/mesh/meshpeers.cpp
+++ b/src/mesh/meshpeers.cpp
@@ -64,12 +64,7 @@
     if (report.rateLimit) {
         known.rateLimit = report.rateLimit->ratePerSecond ? report.rateLimit : std::nullopt;
     }
-    for (const TargetDeparture &it : report.departures) {
-        std::erase_if(known.departures, [&it](const TargetDeparture &old) { return old.name == it.name && old.startedUntil < it.startedUntil; });
-        if (std::ranges::find(known.departures, it.name, &TargetDeparture::name) == known.departures.end()) {
-            known.departures.push_back(it);
-        }
-    }
+    known.departures.merge(report.departures);
     return known;
 }
 
--- a/src/mesh/meshpeers.h
+++ b/src/mesh/meshpeers.h
@@ -7,6 +7,7 @@
 //   KnownPeer &known = peers.recordReport(from, report, now);
 
 #include "coordination/feed/configurationfetcher.h"
+#include "coordination/targetlife/departurelist.h"
 #include "protocol/hostrow.h"
 #include "protocol/nodereport.h"
 #include "state/peer.h"
@@ -32,7 +33,7 @@
     /// Whether the peer can follow the configuration in the store.
     bool isStoreReachable = true;
     /// Departures of its target.
-    std::vector<TargetDeparture> departures;
+    DepartureList departures;
     /// The limit that its target has named; absent if none is known or it has been lifted.
     std::optional<TargetRateLimit> rateLimit = std::nullopt;
     /// The last record of its target, and the last configuration that it reported.
--- a/src/mesh/test/meshpeers_test.cpp
+++ b/src/mesh/test/meshpeers_test.cpp
@@ -1,5 +1,7 @@
 #include "mesh/meshpeers.h"
 
+#include "protocol/targetcodec.h"
+
 #include <boost/test/unit_test.hpp>
 
 using namespace banyankeel;
@@ -91,4 +93,24 @@
     BOOST_CHECK_EQUAL(peers.relayCandidates(Muc, Begin + 2s, 1s).size(), 1);
 }
 
+// Failure: after many planned restarts of a host its peers tell it of more departures than it reads, and lose the connection with all that is under way.
+BOOST_AUTO_TEST_CASE(OfAPeerThatHasRestartedOftenOnlyTheLastDeparturesAreKept)
+{
+    constexpr std::size_t Restarts = 3 * MaxDepartures;
+    MeshPeers peers = peersOf({});
+    Peer peer = peerOf("a");
+    for (std::size_t n = 1; n <= Restarts; ++n) {
+        peer.incarnation = Incarnation{n};
+        NodeReport report = reportOf(1);
+        report.departures = {{"boot-" + std::to_string(n), WallTime(std::chrono::seconds(n))}};
+        peers.recordReport(peer, report, Begin);
+    }
+    const std::vector<TargetDeparture> &known = peers.find(peer.node)->departures.all();
+    BOOST_CHECK_LE(known.size(), MaxDepartures);
+    BOOST_CHECK_EQUAL(known.back().name, "boot-" + std::to_string(Restarts));
+    NodeReport told = reportOf(1);
+    told.receiverDepartures = known;
+    BOOST_CHECK_NO_THROW(NodeReport::decode(told.encode()));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/protocol/targetcodec.h
+++ b/src/protocol/targetcodec.h
@@ -13,7 +13,7 @@
 class WireReader;
 class WireWriter;
 
-/// A target departs at most once per boot, and only recent departures are needed.
+/// How many departures of one target a process keeps, and therefore sends. A target departs at most once per boot, and only recent departures are needed.
 inline constexpr std::size_t MaxDepartures = 16;
 
 void writeDepartures(WireWriter &writer, const std::vector<TargetDeparture> &departures);
