Readers of messages set no bounds that their senders don't know

The reader of headers allowed 256, nothing on the way in counts them, and the transport took the error for a damaged stream. 25 lists in messages and host rows had such bounds, from 16 to a million items; ages of relayed reports and shares of retries had bounds that their senders did not keep either.

Change: a list is bounded by the bytes that follow (WireReader::itemCount()), of which an item takes one at least, and memory is taken item by item. Senders clamp numbers that readers bound.

Why it works: what a sender can encode, its reader can read.

--- a/src/mesh/test/mesh_test.cpp
+++ b/src/mesh/test/mesh_test.cpp
@@ -72,6 +72,34 @@
     }
 }
 
+// Failure: a request with more headers than the node of its target reads ends the requests of all others between the two nodes.
+BOOST_AUTO_TEST_CASE(ARequestWithManyHeadersIsServedAndEndsNoOther)
+{
+    MeshFleet fleet({"alpha", "beta"});
+    publishRoutes(fleet);
+    fleet.sendHeartbeat(1);
+    fleet.requestUntil(0, getRequest("/b/1", "r1"), "200");
+    const std::size_t seenBefore = fleet.seenRequests().size();
+    std::optional<std::pair<SeenRequest, HttpResponder>> held;
+    fleet.setTargetHandler([&held](const SeenRequest &seen, const HttpResponder &respond) {
+        if (seen.request.target == "/orders/held") {
+            held.emplace(seen, respond);
+        } else {
+            respond(signedResponse(seen, 200));
+        }
+    });
+    RawConnection caller(fleet.callerEndpoint(0));
+    caller.write(getRequest("/orders/held", "held") + "Connection: close\r\n\r\n");
+    fleet.waitUntilSeen(seenBefore + 1);
+    std::string many = getRequest("/b/2", "many");
+    for (int n = 0; n < 300; ++n) {
+        many += "X-" + std::to_string(n) + ": \r\n";
+    }
+    BOOST_CHECK(fleet.request(0, many).starts_with("HTTP/1.1 200"));
+    fleet.run([&held] { held->second(signedResponse(held->first, 200)); });
+    BOOST_CHECK(caller.readToEnd().starts_with("HTTP/1.1 200"));
+}
+
 BOOST_AUTO_TEST_CASE(AWithdrawnKeyStopsWorkingOnAnOpenConnection)
 {
     MeshFleet fleet({"alpha"});
--- a/src/protocol/callmessages.cpp
+++ b/src/protocol/callmessages.cpp
@@ -4,6 +4,7 @@
 #include "protocol/wirewriter.h"
 #include "state/errors.h"
 
+#include <algorithm>
 #include <limits>
 
 namespace banyankeel
@@ -11,7 +12,7 @@
 
 namespace
 {
-constexpr std::size_t MaxHeaders = 256;
+constexpr std::uint8_t HighestPercent = 100;
 
 void writeHeaders(WireWriter &writer, const std::vector<HttpHeader> &headers)
 {
@@ -24,9 +25,8 @@
 
 std::vector<HttpHeader> readHeaders(WireReader &reader)
 {
-    const std::size_t n = reader.count("headers", MaxHeaders);
+    const std::size_t n = reader.itemCount("headers");
     std::vector<HttpHeader> headers;
-    headers.reserve(n);
     for (std::size_t i = 0; i < n; ++i) {
         std::string name = reader.text("header name");
         std::string value = reader.text("header value");
@@ -168,7 +168,7 @@
     writer.text(http.target);
     writeHeaders(writer, http.headers);
     writer.bytes(http.body);
-    writer.compactNumber(repeatPercent);
+    writer.compactNumber(std::min(repeatPercent, HighestPercent));
     writer.compactNumber(static_cast<std::uint64_t>(rootKind));
     writer.compactNumber(static_cast<std::uint64_t>(rootPriority));
     writer.compactNumber(suspectedCrashes);
@@ -191,7 +191,6 @@
     http.target = reader.text("target");
     http.headers = readHeaders(reader);
     http.body = reader.bytes("body");
-    constexpr std::uint64_t HighestPercent = 100;
     const auto repeatPercent = static_cast<std::uint8_t>(reader.number("repeat percent", HighestPercent));
     const auto rootKind = static_cast<RequestKind>(reader.number("root kind", std::numeric_limits<std::uint32_t>::max()));
     const auto rootPriority = static_cast<PriorityLevel>(reader.number("root priority", std::numeric_limits<std::uint8_t>::max()));
--- a/src/protocol/claimmessages.cpp
+++ b/src/protocol/claimmessages.cpp
@@ -8,8 +8,6 @@
 
 namespace
 {
-constexpr std::size_t MaxItems = 4096;
-
 void requireType(const Envelope &envelope, MessageType type, const char *message)
 {
     if (envelope.type != type) {
@@ -35,7 +33,7 @@
 {
     WireReader reader(envelope.payload, name);
     Message message{readShard(reader), {}};
-    const std::size_t n = reader.count("items", MaxItems);
+    const std::size_t n = reader.itemCount("items");
     std::vector<ClaimItem> items;
     for (std::size_t i = 0; i < n; ++i) {
         const auto ticket = static_cast<ClaimTicket>(reader.number("ticket"));
@@ -74,7 +72,7 @@
 {
     requireType(envelope, MessageType::ClaimAnswer, "claim answer");
     WireReader reader(envelope.payload, "claim answer");
-    const std::size_t n = reader.count("verdicts", MaxItems);
+    const std::size_t n = reader.itemCount("verdicts");
     ClaimAnswer answer;
     for (std::size_t i = 0; i < n; ++i) {
         const auto ticket = static_cast<ClaimTicket>(reader.number("ticket"));
--- a/src/protocol/configurationmessages.cpp
+++ b/src/protocol/configurationmessages.cpp
@@ -12,9 +12,6 @@
 
 namespace
 {
-constexpr std::size_t MaxChanges = 65'536;
-constexpr std::size_t MaxPageObjects = 1'000'000;
-
 void requireType(const Envelope &envelope, MessageType type, const char *message)
 {
     if (envelope.type != type) {
@@ -128,7 +125,7 @@
     requireType(envelope, MessageType::ConfigurationDelta, "configuration delta");
     WireReader reader(envelope.payload, "configuration delta");
     ConfigurationDelta delta{.base = reader.number("base"), .changes = {}, .digest = {}};
-    const std::size_t n = reader.count("changes", MaxChanges);
+    const std::size_t n = reader.itemCount("changes");
     for (std::size_t i = 0; i < n; ++i) {
         delta.changes.push_back(readChange(reader));
     }
@@ -160,7 +157,7 @@
     snapshot.digest = readDigest(reader);
     snapshot.isFirst = reader.flag("first");
     snapshot.isLast = reader.flag("last");
-    const std::size_t n = reader.count("objects", MaxPageObjects);
+    const std::size_t n = reader.itemCount("objects");
     for (std::size_t i = 0; i < n; ++i) {
         snapshot.objects.push_back(readObject(reader));
     }
--- a/src/protocol/hostrow.cpp
+++ b/src/protocol/hostrow.cpp
@@ -14,7 +14,6 @@
 
 namespace
 {
-constexpr std::size_t MaxQuarantines = 1024;
 // Leaves room for the rest of the row below the 64 KiB that a store takes.
 constexpr std::size_t MaxQuarantineBytes = std::size_t{32} * 1024;
 
@@ -65,9 +64,8 @@
 
 std::vector<StoredQuarantine> readQuarantines(WireReader &reader)
 {
-    const std::size_t n = reader.count("quarantines", MaxQuarantines);
+    const std::size_t n = reader.itemCount("quarantines");
     std::vector<StoredQuarantine> quarantines;
-    quarantines.reserve(n);
     for (std::size_t i = 0; i < n; ++i) {
         auto organisation = reader.name<OrganisationId>("organisation");
         auto route = reader.name<RouteName>("route");
--- a/src/protocol/leasemessages.cpp
+++ b/src/protocol/leasemessages.cpp
@@ -8,9 +8,6 @@
 
 namespace
 {
-constexpr std::size_t MaxHolders = 1024;
-constexpr std::size_t MaxMarks = 1024;
-
 void requireType(const Envelope &envelope, MessageType type, const char *message)
 {
     if (envelope.type != type) {
@@ -37,7 +34,7 @@
 {
     WireReader reader(envelope.payload, name);
     Message message{static_cast<SenderTime>(reader.duration("asked").count()), {}};
-    const std::size_t n = reader.count("marks", MaxMarks);
+    const std::size_t n = reader.itemCount("marks");
     for (std::size_t i = 0; i < n; ++i) {
         const ShardId shard = readShard(reader);
         const Fence fence = readFence(reader);
@@ -67,7 +64,7 @@
 {
     requireType(envelope, MessageType::HolderTable, "holder table");
     WireReader reader(envelope.payload, "holder table");
-    const std::size_t n = reader.count("holders", MaxHolders);
+    const std::size_t n = reader.itemCount("holders");
     HolderTable table;
     for (std::size_t i = 0; i < n; ++i) {
         const ShardId shard = readShard(reader);
--- a/src/protocol/membershipmessages.cpp
+++ b/src/protocol/membershipmessages.cpp
@@ -14,9 +14,6 @@
 
 namespace
 {
-constexpr std::size_t MaxRumours = 4096;
-constexpr std::size_t MaxRecords = 65'536;
-
 void requireType(const Envelope &envelope, MessageType type, const char *message)
 {
     if (envelope.type != type) {
@@ -47,7 +44,7 @@
 
 std::vector<MemberRumour> readRumours(WireReader &reader)
 {
-    const std::size_t n = reader.count("members", MaxRumours);
+    const std::size_t n = reader.itemCount("members");
     std::vector<MemberRumour> rumours;
     for (std::size_t i = 0; i < n; ++i) {
         Peer peer = readPeer(reader);
@@ -67,7 +64,7 @@
 
 std::vector<TargetRecord> readRecords(WireReader &reader)
 {
-    const std::size_t n = reader.count("records", MaxRecords);
+    const std::size_t n = reader.itemCount("records");
     std::vector<TargetRecord> records;
     for (std::size_t i = 0; i < n; ++i) {
         records.push_back(readTargetRecord(reader));
--- a/src/protocol/nodereport.cpp
+++ b/src/protocol/nodereport.cpp
@@ -15,7 +15,6 @@
 
 namespace
 {
-constexpr std::size_t MaxUses = 65'536;
 // Added to counts on the wire: returned requests can make a count briefly negative, and the offset keeps its encoding short.
 constexpr std::int64_t TakenOffset = 32'768;
 // Resolution of rates on the wire, in steps per request per second.
@@ -81,9 +80,8 @@
 
 std::vector<OrganisationUsage> readUses(WireReader &reader)
 {
-    const std::size_t n = reader.count("uses", MaxUses);
+    const std::size_t n = reader.itemCount("uses");
     std::vector<OrganisationUsage> uses;
-    uses.reserve(n);
     for (std::size_t i = 0; i < n; ++i) {
         auto organisation = reader.name<OrganisationId>("organisation");
         const auto taken = static_cast<std::int64_t>(reader.number("taken")) - TakenOffset;
--- a/src/protocol/quarantinemessages.cpp
+++ b/src/protocol/quarantinemessages.cpp
@@ -77,9 +77,8 @@
 
 std::vector<CrashReport> readCrashReports(WireReader &reader)
 {
-    const std::size_t count = reader.count("crash reports", MaxCrashReports);
+    const std::size_t count = reader.itemCount("crash reports");
     std::vector<CrashReport> reports;
-    reports.reserve(count);
     for (std::size_t n = 0; n < count; ++n) {
         reports.push_back(readReport(reader));
     }
--- a/src/protocol/quotamessages.cpp
+++ b/src/protocol/quotamessages.cpp
@@ -8,8 +8,6 @@
 
 namespace
 {
-constexpr std::size_t MaxItems = 4096;
-
 void requireType(const Envelope &envelope, MessageType type, const char *message)
 {
     if (envelope.type != type) {
@@ -83,7 +81,7 @@
     requireType(envelope, MessageType::QuotaRequest, "quota request");
     WireReader reader(envelope.payload, "quota request");
     QuotaRequest message{readShard(reader), {}};
-    const std::size_t n = reader.count("items", MaxItems);
+    const std::size_t n = reader.itemCount("items");
     for (std::size_t i = 0; i < n; ++i) {
         message.items.push_back(readAskItem(reader));
     }
@@ -114,7 +112,7 @@
     WireReader reader(envelope.payload, "quota grant");
     const ShardId shard = readShard(reader);
     QuotaGrant message{shard, readFence(reader), {}};
-    const std::size_t n = reader.count("items", MaxItems);
+    const std::size_t n = reader.itemCount("items");
     for (std::size_t i = 0; i < n; ++i) {
         auto organisation = reader.name<OrganisationId>("organisation");
         const QuotaRequestId ask = readAskId(reader, "ask");
@@ -146,7 +144,7 @@
     requireType(envelope, MessageType::QuotaReturn, "quota return");
     WireReader reader(envelope.payload, "quota return");
     QuotaReturn message{readShard(reader), {}};
-    const std::size_t n = reader.count("items", MaxItems);
+    const std::size_t n = reader.itemCount("items");
     for (std::size_t i = 0; i < n; ++i) {
         auto organisation = reader.name<OrganisationId>("organisation");
         const QuotaRequestId ask = readAskId(reader, "ask");
--- a/src/protocol/reportbatch.cpp
+++ b/src/protocol/reportbatch.cpp
@@ -12,13 +12,13 @@
 
 namespace
 {
-constexpr std::size_t MaxEntries = 65'536;
-constexpr std::size_t MaxLoads = 4'096;
+// Ages above it are sent as this one.
 constexpr std::uint64_t MaxAgeMilliseconds = 3'600'000;
 
 std::uint64_t millisecondsOf(Duration age)
 {
-    return std::min(MaxAgeMilliseconds, static_cast<std::uint64_t>(std::chrono::ceil<std::chrono::milliseconds>(age).count()));
+    const auto milliseconds = std::chrono::ceil<std::chrono::milliseconds>(std::max(age, Duration::zero()));
+    return std::min(MaxAgeMilliseconds, static_cast<std::uint64_t>(milliseconds.count()));
 }
 
 void writeEntry(WireWriter &writer, const RelayedReport &entry)
@@ -30,7 +30,7 @@
     } else {
         writer.absent();
     }
-    writer.compactNumber(static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(entry.age).count()));
+    writer.compactNumber(millisecondsOf(entry.age));
     writer.bytes(entry.report);
 }
 
@@ -76,11 +76,11 @@
     }
     WireReader reader(envelope.payload, "report batch");
     ReportBatch batch{.entries = {}, .loads = {}, .isUrgent = reader.flag("urgent")};
-    const std::size_t entries = reader.count("entries", MaxEntries);
+    const std::size_t entries = reader.itemCount("entries");
     for (std::size_t i = 0; i < entries; ++i) {
         batch.entries.push_back(readEntry(reader));
     }
-    const std::size_t loads = reader.count("loads", MaxLoads);
+    const std::size_t loads = reader.itemCount("loads");
     for (std::size_t i = 0; i < loads; ++i) {
         auto region = reader.name<RegionName>("load region");
         batch.loads.push_back({std::move(region), readLoadReport(reader)});
--- a/src/protocol/statecodec.cpp
+++ b/src/protocol/statecodec.cpp
@@ -12,8 +12,6 @@
 
 namespace
 {
-constexpr std::size_t MaxNames = 65'536;
-constexpr std::size_t MaxObjects = 1'000'000;
 constexpr std::uint64_t MaxUint16 = std::numeric_limits<std::uint16_t>::max();
 constexpr std::uint64_t MaxUint8 = std::numeric_limits<std::uint8_t>::max();
 
@@ -29,7 +27,7 @@
 template<typename Name>
 std::vector<Name> readNames(WireReader &reader, std::string_view field)
 {
-    const std::size_t n = reader.count(field, MaxNames);
+    const std::size_t n = reader.itemCount(field);
     std::vector<Name> names;
     for (std::size_t i = 0; i < n; ++i) {
         names.push_back(Name(reader.text(field)));
@@ -278,11 +276,11 @@
 ConfigurationChange readChange(WireReader &reader)
 {
     ConfigurationChange change;
-    const std::size_t putCount = reader.count("put", MaxObjects);
+    const std::size_t putCount = reader.itemCount("put");
     for (std::size_t i = 0; i < putCount; ++i) {
         change.put.push_back(readObject(reader));
     }
-    const std::size_t removedCount = reader.count("removed", MaxObjects);
+    const std::size_t removedCount = reader.itemCount("removed");
     for (std::size_t i = 0; i < removedCount; ++i) {
         change.removed.push_back(readObjectName(reader));
     }
--- a/src/protocol/targetcodec.cpp
+++ b/src/protocol/targetcodec.cpp
@@ -21,9 +21,8 @@
 
 std::vector<TargetDeparture> readDepartures(WireReader &reader)
 {
-    const std::size_t n = reader.count("leavings", MaxDepartures);
+    const std::size_t n = reader.itemCount("leavings");
     std::vector<TargetDeparture> departures;
-    departures.reserve(n);
     for (std::size_t i = 0; i < n; ++i) {
         std::string name = reader.text("target name");
         const auto micros = static_cast<std::int64_t>(reader.number("started until"));
--- a/src/protocol/test/callmessages_test.cpp
+++ b/src/protocol/test/callmessages_test.cpp
@@ -61,6 +61,36 @@
     BOOST_CHECK(CallAnswer::decode(success.encode()) == success);
 }
 
+// Failure: a message that its sender takes for valid ends the connection of its reader, with the requests of all others on it.
+BOOST_AUTO_TEST_CASE(AnyNumberOfHeadersReadsBack)
+{
+    for (const std::size_t count : {std::size_t{300}, std::size_t{100'000}}) {
+        CallRequest request = sampleRequest();
+        request.http.headers.assign(count, {"a", ""});
+        BOOST_CHECK(CallRequest::decode(request.encode()) == request);
+        const CallAnswer answer{
+            .attempt = AttemptId{2},
+            .verdict = Verdict::ran(),
+            .response = HttpResponse{.status = 200, .headers = request.http.headers, .body = "whole"},
+            .hint = {},
+            .retriesSpent = 0,
+        };
+        BOOST_CHECK(CallAnswer::decode(answer.encode()) == answer);
+    }
+}
+
+// Failure: a corrupt count makes a node allocate memory without end.
+BOOST_AUTO_TEST_CASE(ACountBeyondTheBytesThatFollowIsRejected)
+{
+    CallRequest request = sampleRequest();
+    request.http.headers.assign(15, {"name", "value"});
+    std::string payload = request.encode().payload;
+    const std::size_t at = payload.find("\x9f\xa4name");
+    BOOST_REQUIRE(at != std::string::npos);
+    payload.replace(at, 1, "\xdd\xff\xff\xff\xff");
+    BOOST_CHECK_THROW(CallRequest::decode({MessageType::CallRequest, payload}), ProtocolError);
+}
+
 // Failure: a status that ends no request reaches the caller of another node.
 BOOST_AUTO_TEST_CASE(AnAnswerWithAnInvalidStatusIsRejected)
 {
--- a/src/protocol/test/nodereport_test.cpp
+++ b/src/protocol/test/nodereport_test.cpp
@@ -28,6 +28,21 @@
     });
 }
 
+// Failure: a report that has not changed for long keeps all others of its batch from their readers.
+BOOST_AUTO_TEST_CASE(AnyAgeAndAnyNumberOfEntriesReadBack)
+{
+    const NodeId node("host-1");
+    ReportBatch batch{.entries = {{node, Incarnation{7}, std::nullopt, std::chrono::hours(5), "report"}}, .loads = {}};
+    BOOST_CHECK(ReportBatch::decode(batch.encode()).entries.front().age == std::chrono::hours(1));
+    batch.entries.front().age = -std::chrono::seconds(1);
+    BOOST_CHECK(ReportBatch::decode(batch.encode()).entries.front().age == Duration::zero());
+    const LoadReport load{ServiceName("archive"), 8, 2.5, {}, {}, std::vector<RunTime>(5'000, {RequestKind{1}, 1, 1}), {}};
+    batch.loads.assign(5'000, {RegionName("north"), {ServiceName("archive"), 8, 2.5, {}, {}, {}, {}}});
+    batch.loads.front().load = load;
+    batch.entries.assign(70'000, {node, Incarnation{7}, std::nullopt, Duration::zero(), "report"});
+    BOOST_CHECK(ReportBatch::decode(batch.encode()) == batch);
+}
+
 // Failure: a name that a node has taken over from another system is refused by its peers.
 BOOST_AUTO_TEST_CASE(NamesOfOtherSystemsReadBack)
 {
--- a/src/protocol/wirereader.h
+++ b/src/protocol/wirereader.h
@@ -42,6 +42,12 @@
     Duration duration(std::string_view field);
     /// Reads the number of values that follow. It must not exceed @p highest, so that a corrupt count can't cause a large allocation.
     std::size_t count(std::string_view field, std::size_t highest);
+    /// Reads the number of items of a list. The bytes that follow are its only limit, since an item takes at least one, so that whatever the sender has
+    /// written can be read. Memory must be taken item by item.
+    std::size_t itemCount(std::string_view field)
+    {
+        return count(field, m_payload.size() - m_offset);
+    }
     /// If the next value is nil, consumes it and returns true; otherwise returns false.
     bool absent();
 
