A message between nodes that can't be read costs only itself

Whatever made one message unreadable ended all requests between two nodes.

Cause: the transport closed a connection when the handler of a message threw, as if the stream of frames were damaged. The frames around such a message are whole.

Change: the transport leaves the message out and reports it (hook malformed; malformed-message in the log, banyankeel_malformed_messages_total). If it is a request, its sender is told that it has not run, which is true, as it is read before anything is run; if it is an answer or a part of one, its attempt ends as one that may have run. Damaged frames and hellos still close the connection.

Why it works: an error of one message has no effect on the connection, and nobody waits for what it concerned.

--- a/src/mesh/meshentry.cpp
+++ b/src/mesh/meshentry.cpp
@@ -361,6 +361,15 @@
     }
 }
 
+void MeshEntry::handleMalformedAnswer(AttemptId attempt)
+{
+    cancelBody(attempt, Reason::BodyIncomplete);
+    if (const RequestPointer request = removeAttempt(attempt)) {
+        cancelAttempt(request->choice->peer.endpoint, attempt);
+        attemptEnded(request, Verdict::unknown(Reason::ConnectionLost), nullptr);
+    }
+}
+
 void MeshEntry::endAll()
 {
     while (!m_bodies.empty()) {
--- a/src/mesh/meshentry.h
+++ b/src/mesh/meshentry.h
@@ -107,6 +107,8 @@
     void handleBodyPart(CallBodyPart part);
     /// The request of @p attempt has not left this node and will not.
     void handleUnsent(AttemptId attempt);
+    /// What has come back for @p attempt can't be read. The attempt may have run.
+    void handleMalformedAnswer(AttemptId attempt);
     /// Handles the loss of the connection to @p peer. @param mayHaveArrived whether requests sent there may have run.
     void handlePeerLost(const Endpoint &peer, bool mayHaveArrived);
     /// Ends requests whose deadline has passed.
--- a/src/mesh/meshnode.cpp
+++ b/src/mesh/meshnode.cpp
@@ -384,6 +384,7 @@
         {"banyankeel_admission_limit", static_cast<double>(m_target.slots())},
         {"banyankeel_target_crashes_total", static_cast<double>(m_crashes.crashes())},
         {"banyankeel_quarantined_requests", static_cast<double>(m_crashes.quarantined().size())},
+        {"banyankeel_malformed_messages_total", static_cast<double>(m_malformedMessages)},
         {"banyankeel_log_lines_left_out_total", static_cast<double>(m_droppedLogLines)},
     };
     for (const auto &[name, fractions] :
--- a/src/mesh/meshnode_fleet.cpp
+++ b/src/mesh/meshnode_fleet.cpp
@@ -10,6 +10,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace banyankeel
@@ -70,6 +71,15 @@
     if (KnownPeer *peer = m_peers.find(from.node)) {
         peer->lastMessageAt = bootTime();
     }
+    try {
+        dispatchMessage(from, envelope);
+    } catch (const ProtocolError &it) {
+        handleMalformed(from, envelope, it.what());
+    }
+}
+
+void MeshNode::Impl::dispatchMessage(const Peer &from, const Envelope &envelope)
+{
     switch (envelope.type) {
     case MessageType::CallRequest:
         // If the connection is lost, the answer is too; the other node notices the loss.
@@ -114,6 +124,35 @@
     }
 }
 
+void MeshNode::Impl::handleMalformed(const Peer &from, const Envelope &envelope, const std::string &problem)
+{
+    reportMalformed(from, problem);
+    const std::optional<AttemptId> attempt = attemptOf(envelope);
+    if (!attempt) {
+        return;
+    }
+    if (envelope.type == MessageType::CallRequest) {
+        // The target is as well as before.
+        const AdmissionHint hint{
+            .admittedLevel = static_cast<PriorityLevel>(std::numeric_limits<std::uint8_t>::max()),
+            .admittedFraction = 1,
+            .load = static_cast<std::uint32_t>(m_target.attemptCount()),
+            .limit = m_target.slots(),
+        };
+        sendMessage(from.endpoint, CallAnswer{*attempt, Verdict::refused(Reason::NoTarget), std::nullopt, hint, 0}.encode());
+    } else if (envelope.type == MessageType::CallAnswer || envelope.type == MessageType::CallBodyPart) {
+        m_entry.handleMalformedAnswer(*attempt);
+    }
+}
+
+void MeshNode::Impl::reportMalformed(const Peer &from, const std::string &problem)
+{
+    ++m_malformedMessages;
+    if (m_requestLog.tryAcquire(bootTime())) {
+        logEvent(LogLevel::Warning, "malformed-message", {{"peer", from.node.text()}, {"detail", problem}});
+    }
+}
+
 void MeshNode::Impl::sendBodyPart(const Endpoint &to, const CallBodyPart &part)
 {
     // Without this part the body can't be whole. Posted, because this runs inside a call of the target.
--- a/src/mesh/meshnode_roster.cpp
+++ b/src/mesh/meshnode_roster.cpp
@@ -130,6 +130,7 @@
                                                       [](const std::string &remote, const std::string &problem) {
                                                           logEvent(LogLevel::Warning, "connection-refused", {{"remote", remote}, {"detail", problem}});
                                                       },
+                                                  .malformed = [this](const Peer &from, const std::string &problem) { reportMalformed(from, problem); },
                                                   .unsent = [this](const Endpoint &, const Envelope &message) { handleUnsent(message); },
                                               });
     m_network->start();
--- a/src/mesh/meshnodeimpl.h
+++ b/src/mesh/meshnodeimpl.h
@@ -97,6 +97,10 @@
     bool sendMessage(const Endpoint &to, Envelope message);
     void logTraffic(TimePoint now);
     void handleMessage(const Peer &from, const Envelope &envelope);
+    void dispatchMessage(const Peer &from, const Envelope &envelope);
+    /// Ends what a message concerns that can't be read, so that nobody waits for it.
+    void handleMalformed(const Peer &from, const Envelope &envelope, const std::string &problem);
+    void reportMalformed(const Peer &from, const std::string &problem);
     void sendBodyPart(const Endpoint &to, const CallBodyPart &part);
     void handleNodeReport(const Peer &from, const NodeReport &report);
     /// Asks a peer for a newer configuration if one is known to have it and no other request is outstanding.
@@ -183,6 +187,7 @@
     PeerTraffic m_traffic;
     TimePoint m_trafficLoggedAt{};
     std::uint64_t m_droppedLogLines = 0;
+    std::uint64_t m_malformedMessages = 0;
     const MeshStore m_store;
     std::optional<Peer> m_self;
     MeshPeers m_peers;
--- a/src/mesh/test/configurationspread_test.cpp
+++ b/src/mesh/test/configurationspread_test.cpp
@@ -29,6 +29,7 @@
                                                                    .message = [this, n](const Peer &, const Envelope &envelope) { record(n, envelope); },
                                                                    .lost = [](const Endpoint &, bool) {},
                                                                    .refused = [](const std::string &, const std::string &) {},
+                                                                   .malformed = [](const Peer &, const std::string &) {},
                                                                }));
             m_networks.back()->start();
         }
--- a/src/mesh/test/meshentry_test.cpp
+++ b/src/mesh/test/meshentry_test.cpp
@@ -214,6 +214,19 @@
 }
 
 // Guards against a stopping node accepting a request that outlives the process, which would leave the caller without a response.
+BOOST_AUTO_TEST_CASE(AnAnswerThatCantBeReadEndsItsRequestOnly)
+{
+    EntryRig rig;
+    rig.request("o1", "order");
+    const AttemptId unreadable = rig.sent.back().second.attempt;
+    rig.request("o2", "order");
+    rig.entry().handleMalformedAnswer(unreadable);
+    rig.entry().handleMalformedAnswer(unreadable);
+    // It may have run, so that it is not sent again.
+    BOOST_CHECK(rig.statuses == std::vector<int>{502});
+    BOOST_CHECK_EQUAL(rig.sent.size(), 2U);
+}
+
 BOOST_AUTO_TEST_CASE(AStoppingNodeTakesNothingThatMayOutlastIt)
 {
     EntryRig rig;
--- a/src/mesh/test/reusedaddress_test.cpp
+++ b/src/mesh/test/reusedaddress_test.cpp
@@ -34,6 +34,7 @@
                                 },
                             .lost = [](const Endpoint &, bool) {},
                             .refused = [](const std::string &, const std::string &) {},
+                            .malformed = [](const Peer &, const std::string &) {},
                         });
     network.start();
     CallRequest request{.attempt = AttemptId{7},
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -241,6 +241,7 @@
             [](const std::string &remote, const std::string &problem) {
                 logEvent(LogLevel::Warning, "connection-refused", {{"remote", remote}, {"problem", problem}});
             },
+        .malformed = [this](const Peer &from, const std::string &problem) { reportMalformed(from, problem); },
     };
 }
 
--- a/src/protocol/callmessages.cpp
+++ b/src/protocol/callmessages.cpp
@@ -147,6 +147,26 @@
 }
 } // namespace
 
+std::optional<AttemptId> attemptOf(const Envelope &envelope)
+{
+    switch (envelope.type) {
+    case MessageType::CallRequest:
+    case MessageType::CallAnswer:
+    case MessageType::CallCancel:
+    case MessageType::CallBodyPart:
+    case MessageType::CallBodyCredit:
+        break;
+    default:
+        return std::nullopt;
+    }
+    try {
+        WireReader reader(envelope.payload, "call message");
+        return readAttempt(reader);
+    } catch (const ProtocolError &) {
+        return std::nullopt;
+    }
+}
+
 std::uint64_t attemptLink(const RequestId &root, AttemptId attempt, Incarnation sender)
 {
     // Multiplicative hashing: spreads small attempt counts over all bits, so that the attempts of different senders for one root request differ.
--- a/src/protocol/callmessages.h
+++ b/src/protocol/callmessages.h
@@ -22,6 +22,9 @@
 /// Identifies an attempt of its sender. An incarnation never reuses an id.
 enum class AttemptId : std::uint64_t {};
 
+/// The attempt that a message of a call concerns, also if the rest of it can't be read. Absent for other messages.
+std::optional<AttemptId> attemptOf(const Envelope &envelope);
+
 /// Returns the key that matches the sending of an attempt's messages with their receipt in the timeline.
 std::uint64_t attemptLink(const RequestId &root, AttemptId attempt, Incarnation sender);
 
--- a/src/transport/benchmark/transport_bench.cpp
+++ b/src/transport/benchmark/transport_bench.cpp
@@ -61,6 +61,7 @@
                         .message = [this](const Peer &, const Envelope &envelope) { answered(envelope); },
                         .lost = [](const Endpoint &, bool) {},
                         .refused = [](const std::string &, const std::string &) {},
+                        .malformed = [](const Peer &, const std::string &) {},
                     })
     {
         m_network.start();
@@ -107,6 +108,7 @@
         .message = [&echo](const Peer &from, Envelope envelope) { echo->send(from.endpoint, std::move(envelope)); },
         .lost = [](const Endpoint &, bool) {},
         .refused = [](const std::string &, const std::string &) {},
+        .malformed = [](const Peer &, const std::string &) {},
     };
     echo = std::make_unique<PeerNetwork>(PeerNetworkSettings{.self = self, .secret = std::string(16, 's')}, hooks);
     echo->start();
--- a/src/transport/peernetwork.cpp
+++ b/src/transport/peernetwork.cpp
@@ -83,6 +83,7 @@
     void accepted(asio::ip::tcp::socket socket);
     ConnectionPointer connectionTo(const Endpoint &endpoint);
     SendResult sendToSelf(Envelope envelope);
+    void handOn(const Peer &from, Envelope envelope);
 
     std::string helloAccepted(const ConnectionPointer &connection);
     std::vector<ConnectionPointer> olderIncarnations(const ConnectionPointer &connection, bool &isOutdated);
@@ -123,7 +124,7 @@
     , m_hooks(std::move(hooks))
     , m_connectionHooks{
           .accepted = [this](const ConnectionPointer &connection) { return helloAccepted(connection); },
-          .message = m_hooks.message,
+          .message = [this](const Peer &from, Envelope envelope) { handOn(from, std::move(envelope)); },
           .ended =
               [this](const ConnectionPointer &connection, ConnectionEnd end, const std::string &problem, const std::vector<Envelope> &unsent) {
                   ended(connection, end, problem, unsent);
@@ -205,15 +206,21 @@
     }
     asio::post(m_loop, [this, size, envelope = std::move(envelope)]() mutable {
         m_loopBytes -= size;
-        try {
-            m_hooks.message(m_settings.self, std::move(envelope));
-        } catch (const Error &it) {
-            m_hooks.refused(m_settings.self.endpoint.text(), it.what());
-        }
+        handOn(m_settings.self, std::move(envelope));
     });
     return SendResult::Queued;
 }
 
+// The frames around a message that can't be read are whole, and belong to others.
+void PeerNetwork::Impl::handOn(const Peer &from, Envelope envelope)
+{
+    try {
+        m_hooks.message(from, std::move(envelope));
+    } catch (const Error &it) {
+        m_hooks.malformed(from, it.what());
+    }
+}
+
 void PeerNetwork::Impl::drop(const Endpoint &peer, const std::string &reason)
 {
     const std::scoped_lock lock(m_mutex);
--- a/src/transport/peernetwork.h
+++ b/src/transport/peernetwork.h
@@ -43,13 +43,15 @@
 /// All must be set, but for those that say otherwise.
 struct PeerNetworkHooks {
     /// A whole frame from a peer whose hello was accepted. Called on a network thread, in order for each peer; must not block.
-    /// May throw Error to refuse it as damaged, which closes the connection.
+    /// May throw Error if it can't be read. The message is then left out; the connection goes on.
     std::function<void(const Peer &from, Envelope envelope)> message;
     /// The connection to @p peer ended or could not be made: messages sent since the last answer may be lost.
     /// @param mayHaveArrived false if no connection to the peer was ready, so that none of them left this node.
     std::function<void(const Endpoint &peer, bool mayHaveArrived)> lost;
     /// One log line for each refused or damaged connection: where from, and why.
     std::function<void(const std::string &remote, const std::string &problem)> refused;
+    /// One log line for each message that can't be read: who sent it, and why.
+    std::function<void(const Peer &from, const std::string &problem)> malformed;
     /// A message to @p peer that was queued can't have been received: its connection ended before all of it was written. Called before lost() for
     /// that connection, which does not concern this message. May be null.
     std::function<void(const Endpoint &peer, const Envelope &message)> unsent = nullptr;
--- a/src/transport/test/peertest.h
+++ b/src/transport/test/peertest.h
@@ -113,6 +113,7 @@
                 },
             .lost = [this](const Endpoint &peer, bool /*mayHaveArrived*/) { record([&] { m_records.losses.push_back(peer); }); },
             .refused = [this](const std::string &, const std::string &problem) { record([&] { m_records.refusals.push_back(problem); }); },
+            .malformed = [this](const Peer &, const std::string &problem) { record([&] { m_records.refusals.push_back(problem); }); },
             .unsent = [this](const Endpoint &, const Envelope &message) { record([&] { m_records.unsent.push_back(message); }); },
         };
     }
