The longest hello is known to both sides

What callers saw: two nodes whose names of node, region and failure domain take more than 1 KB together refused each other's hello and each served alone.

Cause: the reader's bound of 1 KB for frames before the hello, which the sender did not know.

Change: the bound is 4 KB and belongs to PeerHello, which both sides use. A node whose names do not fit says so when it starts.

Evidence: peernetwork/NodesWithLongNamesConnect fails with the bound of 1 KB.

--- a/src/transport/peerconnection.cpp
+++ b/src/transport/peerconnection.cpp
@@ -15,8 +15,6 @@
 
 namespace
 {
-// Nobody without the secret can make a node hold more than this.
-constexpr std::size_t MaxHelloBytes = 1024;
 // The kernel ends a connection whose other side took no bytes for this long, be it slow or gone.
 constexpr int UntakenLimitMilliseconds = 10'000;
 // The kernel finds out in about 30 s that the other side of a silent connection is gone.
--- a/src/transport/peerhello.cpp
+++ b/src/transport/peerhello.cpp
@@ -74,6 +74,12 @@
     , m_secret(std::move(secret))
     , m_nonce(randomNonce())
 {
+    // The proof, and what encodes the lengths of both.
+    constexpr std::size_t RestBytes = 64;
+    if (m_description.size() + RestBytes > MaxHelloBytes) {
+        throw ValueError("hello: field description: the names of node, region and failure domain take " + std::to_string(m_description.size())
+                         + " bytes, at most " + std::to_string(MaxHelloBytes - RestBytes) + " allowed");
+    }
 }
 
 Envelope PeerHello::challenge() const
--- a/src/transport/peerhello.h
+++ b/src/transport/peerhello.h
@@ -10,6 +10,7 @@
 #include "protocol/envelope.h"
 #include "state/peer.h"
 
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -17,6 +18,9 @@
 namespace banyankeel
 {
 
+/// The longest message of a hello. A node holds no more than this for a connection before the other side has proved that it knows the secret.
+inline constexpr std::size_t MaxHelloBytes = 4096;
+
 /// The proof differs by role, so that a proof can't be sent back to the node that made it.
 enum class HelloRole {
     Connector,
@@ -27,6 +31,7 @@
 class PeerHello
 {
 public:
+    /// @throws ValueError if the names of @p self do not fit into a hello.
     PeerHello(HelloRole role, const Peer &self, std::string secret);
 
     /// What to send first.
--- a/src/transport/peernetwork.cpp
+++ b/src/transport/peernetwork.cpp
@@ -2,6 +2,7 @@
 
 #include "state/errors.h"
 #include "transport/peerconnection.h"
+#include "transport/peerhello.h"
 #include "transport/peerlink.h"
 
 #include <asio/io_context.hpp>
@@ -36,6 +37,8 @@
     if (settings.secret.size() < MinSecretBytes) {
         throw ValueError("peer network: field secret: " + std::to_string(settings.secret.size()) + " bytes found, 16 or more allowed");
     }
+    // Checked here rather than at the first connection.
+    static_cast<void>(PeerHello(HelloRole::Connector, settings.self, settings.secret));
     if (settings.threads == 0) {
         throw ValueError("peer network: field threads: 0 found, 1 or more allowed");
     }
--- a/src/transport/test/peernetwork_test.cpp
+++ b/src/transport/test/peernetwork_test.cpp
@@ -293,6 +293,24 @@
     BOOST_CHECK(node.receives(2));
 }
 
+// Failure: nodes whose names are long refuse each other's hello, and each goes on alone.
+BOOST_AUTO_TEST_CASE(NodesWithLongNamesConnect)
+{
+    const auto settingsOf = [](const std::string &name) {
+        Peer self = testPeer(name);
+        self.node = NodeId::verbatim(name + std::string(1'000, 'n'));
+        self.place = {RegionName::verbatim(std::string(1'000, 'r')), FailureDomainName::verbatim(std::string(1'000, 'd'))};
+        return PeerNetworkSettings{.self = self, .secret = TestSecret};
+    };
+    TestNode a(settingsOf("a"));
+    TestNode b(settingsOf("b"));
+    a.send(b, "x");
+    BOOST_CHECK(b.receives(1));
+    PeerNetworkSettings settings = settingsOf("c");
+    settings.self.node = NodeId::verbatim(std::string(MaxHelloBytes, 'n'));
+    BOOST_CHECK_EXCEPTION(TestNode{settings}, ValueError, [](const ValueError &it) { return std::string(it.what()).find("names") != std::string::npos; });
+}
+
 BOOST_AUTO_TEST_CASE(WrongSettingsAreRefused)
 {
     BOOST_CHECK_THROW(TestNode(PeerNetworkSettings{.self = testPeer("a"), .secret = "short"}), ValueError);
