A host whose name is longer than a key of the store has a row

What callers saw: a host with a name of more than 200 bytes, the longest key that a store takes, was never registered, and others did not find it after a restart.

Cause: the name of the node was the key of its row.

Change: the row of a longer name stands under a hash of the name. The row has the name itself, and readers never took it from the key.

Evidence: nodereport/TheRowOfAHostWithALongNameHasAKeyThatTheStoreTakes; HostRow::keyOf() did not exist before.

--- a/src/protocol/hostrow.cpp
+++ b/src/protocol/hostrow.cpp
@@ -5,6 +5,8 @@
 #include "protocol/wirereader.h"
 #include "protocol/wirewriter.h"
 
+#include <fmt/format.h>
+#include <xxhash.h>
 
 #include <algorithm>
 #include <span>
@@ -14,6 +16,8 @@
 
 namespace
 {
+// The longest key that a store takes. The row of a longer name stands under a hash of it; the row itself has the name.
+constexpr std::size_t MaxKeyBytes = 200;
 // Leaves room for the rest of the row below the 64 KiB that a store takes.
 constexpr std::size_t MaxQuarantineBytes = std::size_t{32} * 1024;
 
@@ -106,7 +110,17 @@
 
 RowKey HostRow::key() const
 {
-    return {std::string(table()), peer.node.text()};
+    return keyOf(peer.node);
+}
+
+RowKey HostRow::keyOf(const NodeId &node)
+{
+    const std::string &name = node.text();
+    if (name.size() <= MaxKeyBytes) {
+        return {std::string(table()), name};
+    }
+    const XXH128_hash_t hash = XXH3_128bits(name.data(), name.size());
+    return {std::string(table()), fmt::format("{:016x}{:016x}", hash.high64, hash.low64)};
 }
 
 std::string_view HostRow::table()
--- a/src/protocol/hostrow.h
+++ b/src/protocol/hostrow.h
@@ -53,6 +53,8 @@
     /// @throws ProtocolError, IdentifierError, ValueError on malformed values.
     static HostRow decode(const std::string &value);
     [[nodiscard]] RowKey key() const;
+    /// The key of the row of @p node.
+    static RowKey keyOf(const NodeId &node);
 
     static std::string_view table();
 
--- a/src/protocol/test/nodereport_test.cpp
+++ b/src/protocol/test/nodereport_test.cpp
@@ -87,6 +87,17 @@
     BOOST_CHECK(found.quarantines.front() == row.quarantines.front());
 }
 
+// Failure: the store takes no row with a key of this length, so that the host is never registered and others don't find it.
+BOOST_AUTO_TEST_CASE(TheRowOfAHostWithALongNameHasAKeyThatTheStoreTakes)
+{
+    constexpr std::size_t LongestKey = 200;
+    BOOST_CHECK_EQUAL(HostRow::keyOf(NodeId("host-1")).key, "host-1");
+    const RowKey first = HostRow::keyOf(NodeId::verbatim(std::string(300, 'n') + "1"));
+    const RowKey second = HostRow::keyOf(NodeId::verbatim(std::string(300, 'n') + "2"));
+    BOOST_CHECK_LE(first.key.size(), LongestKey);
+    BOOST_CHECK(first != second);
+}
+
 BOOST_AUTO_TEST_CASE(AnIncrementalReportWithoutChangesIsSmall)
 {
     const NodeReport report{
