A row of its own that a node can't read shows that it has run before

Cause: rows that can't be read are skipped, and a row that is skipped counted as none (see users-retry-budget.md).

Change: a row under the node's own key counts as a predecessor, readable or not.

Evidence: mesh/ANodeThatCantReadItsOwnRowKnowsThatItHasRunBefore failed before.

--- a/src/mesh/meshnode_roster.cpp
+++ b/src/mesh/meshnode_roster.cpp
@@ -53,6 +53,7 @@
     std::vector<TargetDeparture> departures;
     std::vector<NodeId> added;
     const bool isFirst = !m_isRegistered;
+    bool isOwnRowUnreadable = false;
     for (const Row &row : read->rows) {
         try {
             const HostRow host = HostRow::decode(row.value);
@@ -70,12 +71,13 @@
                 added.push_back(host.peer.node);
             }
         } catch (const Error &it) {
-            // A row that can't be decoded, for example one written by other software, is skipped.
+            // A row that can't be decoded, for example one written by other software, is skipped. One of this node still shows that it has run before.
+            isOwnRowUnreadable = isOwnRowUnreadable || row.key == HostRow::keyOf(m_settings.node);
             logEvent(LogLevel::Warning, "host-row-unreadable", {{"key", row.key.key}, {"detail", it.what()}});
         }
     }
     if (isFirst) {
-        m_mayHavePredecessor = last != Incarnation{};
+        m_mayHavePredecessor = last != Incarnation{} || isOwnRowUnreadable;
     }
     m_rateLimiter.setPeerCount(m_peers.size());
     joinFleet(last);
--- a/src/mesh/test/mesh_test.cpp
+++ b/src/mesh/test/mesh_test.cpp
@@ -127,6 +127,27 @@
     BOOST_CHECK(fleet.requestUntil(1, getRequest("/new/1", "r2"), "200").ends_with("target-0"));
 }
 
+// Failure: a row that can't be read counts as none, and each process that starts spends the retries of a whole window again.
+BOOST_AUTO_TEST_CASE(ANodeThatCantReadItsOwnRowKnowsThatItHasRunBefore)
+{
+    MeshFleet fleet({"alpha"});
+    publishRoutes(fleet);
+    fleet.sendHeartbeat(0);
+    fleet.requestUntil(0, getRequest("/a/1", "r1"), "200");
+    fleet.kill(0);
+    fleet.run([&] { fleet.store().put({"hosts", "node-0"}, "of a later version"); });
+    fleet.start(0);
+    fleet.sendHeartbeat(0);
+    fleet.requestUntil(0, getRequest("/a/1", "r2"), "200");
+    fleet.setTargetHandler([](const SeenRequest &seen, const HttpResponder &respond) {
+        HttpResponse response = signedResponse(seen, 503);
+        response.headers.push_back({"Not-Run", "1"});
+        respond(std::move(response));
+    });
+    fleet.request(0, getRequest("/a/1", "rejected"));
+    BOOST_CHECK_EQUAL(countOf(fleet.seenRequests(), "rejected"), 1U);
+}
+
 BOOST_AUTO_TEST_CASE(AnAcknowledgedLeavingSurvivesTheNodeByTheStore)
 {
     MeshFleet fleet({"alpha"});
