A node reads whatever its peers may send

What callers saw: in a fleet of banyankeel-node, a body of 2 MiB that the entry node allows (limits.body_bytes 8 MiB) was answered 502, may have run, if the node of the target had a limit of 16 KiB; the connection between the two closed, with all that was under way on it.

Change: the longest frame follows from the highest limit that any node can have. limits.body_bytes stays what it says: a limit for the callers and the target of this node.

Evidence: path/ANodeReadsWhateverItsPeersMaySend (real processes) failed before with 502, passes now.

Why it works: no node can be set so that it sends a longer frame.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -225,7 +225,8 @@
 PeerNetworkSettings Node::Impl::networkSettings() const
 {
     PeerNetworkSettings network{.self = m_self, .secret = m_settings.secret};
-    network.maxFrameBytes = 2 * m_settings.limits.bodyBytes;
+    // Peers don't know the limits of this node, and send what theirs allow. Headers and the rest of a message take less than a body.
+    network.maxFrameBytes = 2 * MaxBodyBytes;
     network.maxQueuedBytes = m_settings.limits.peerQueueBytes;
     network.maxConnections = m_settings.limits.connections;
     network.threads = m_settings.limits.threads;
--- a/src/node/nodesettings.cpp
+++ b/src/node/nodesettings.cpp
@@ -96,7 +96,7 @@
 NodeLimits readLimits(SettingsReader reader)
 {
     NodeLimits limits = defaultLimits();
-    limits.bodyBytes = reader.number("body_bytes", 1024, 64 * Mebibyte, limits.bodyBytes);
+    limits.bodyBytes = reader.number("body_bytes", 1024, MaxBodyBytes, limits.bodyBytes);
     limits.connections = reader.number("connections", 1, 65'535, limits.connections);
     limits.peerQueueBytes = reader.number("peer_queue_bytes", 1024, 256 * Mebibyte, limits.peerQueueBytes);
     limits.timelineEvents = reader.number("timeline_events", 16, 1'000'000, limits.timelineEvents);
--- a/src/node/nodesettings.h
+++ b/src/node/nodesettings.h
@@ -46,7 +46,11 @@
     Duration timeLimit;
 };
 
+/// The highest bodyBytes of any node of a fleet.
+inline constexpr std::size_t MaxBodyBytes = std::size_t{64} * 1024 * 1024;
+
 struct NodeLimits {
+    /// Of requests and responses that this node takes from its own callers and its own target.
     std::size_t bodyBytes;
     std::size_t connections;
     std::size_t peerQueueBytes;
--- a/src/testing/fleet/fleet.cpp
+++ b/src/testing/fleet/fleet.cpp
@@ -138,6 +138,7 @@
         .target = address(ip, TargetPort),
         .targetCommand = {},
         .nodeCommand = {},
+        .nodeLimits = {},
         .targetProcess = nullptr,
         .node = nullptr,
     };
@@ -266,6 +267,12 @@
     }
     file << fmt::format("store:\n  address: {}\n  token: {}\n", m_storeForNodes.text(), StoreToken);
     file << fmt::format("target:\n  address: {}\n  service: {}\n", host.target.text(), host.service);
+    if (!host.nodeLimits.empty()) {
+        file << "limits:\n";
+    }
+    for (const auto &[name, value] : host.nodeLimits) {
+        file << fmt::format("  {}: {}\n", name, value);
+    }
 }
 
 void Fleet::writeCtlSettings() const
--- a/src/testing/fleet/fleet.h
+++ b/src/testing/fleet/fleet.h
@@ -12,6 +12,8 @@
 #include "state/time.h"
 #include "testing/fleet/process.h"
 
+#include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -60,6 +62,8 @@
     Endpoint target;
     std::vector<std::string> targetCommand;
     std::vector<std::string> nodeCommand;
+    /// Limits of the node in place of the defaults, by name. To be set before the fleet starts.
+    std::map<std::string, std::uint64_t> nodeLimits;
     std::unique_ptr<Process> targetProcess;
     std::unique_ptr<Process> node;
 };
--- a/tests/integration/path_test.cpp
+++ b/tests/integration/path_test.cpp
@@ -30,6 +30,29 @@
     }
 }
 
+// Failure: a node whose bodies may be short closes the connection of a peer that sends a long one, with all that is under way on it.
+BOOST_AUTO_TEST_CASE(ANodeReadsWhateverItsPeersMaySend)
+{
+    constexpr std::size_t BodyBytes = std::size_t{2} * 1024 * 1024;
+    Fleet fleet(FleetPlan::chain(1), Binaries);
+    Host *entry = nullptr;
+    for (Host &host : fleet.hosts()) {
+        if (host.service == "archiv") {
+            host.nodeLimits = {{"body_bytes", 16 * 1024}};
+        } else {
+            entry = &host;
+        }
+    }
+    BOOST_REQUIRE(entry != nullptr);
+    fleet.start();
+    fleet.publish(Examples + "/steigflug.yaml");
+    Caller caller(fleet.grantKey("kranich", "crew-desk"));
+    const HttpResult result = caller.call(entry->callers, "GET", "/archiv/lookup/long", {}, std::string(BodyBytes, 'b'));
+    BOOST_REQUIRE(result.response.has_value());
+    BOOST_CHECK_EQUAL(result.response->status, 200);
+    BOOST_CHECK_EQUAL(verdictOf(result), "ran");
+}
+
 BOOST_AUTO_TEST_CASE(ARequestWithoutAKeyInForceIsRefusedAndNotRun)
 {
     Fleet fleet(FleetPlan::chain(1), Binaries);
