The peers of a test wait for the reply to their own report

Change: report() waits for any report to that peer. A node sends none to a peer that it has not heard of, so that the first one shows that the report has been handled, which is what the wait was for.

--- a/src/mesh/test/configurationspread_test.cpp
+++ b/src/mesh/test/configurationspread_test.cpp
@@ -20,6 +20,7 @@
 public:
     ReportingPeers(const MeshFleet &fleet, const std::vector<std::string> &regions)
         : m_node(fleet.peerEndpoint(0))
+        , m_replies(regions.size())
     {
         for (std::size_t n = 0; n < regions.size(); ++n) {
             const Peer self{
@@ -43,11 +44,12 @@
     ReportingPeers(const ReportingPeers &) = delete;
     ReportingPeers &operator=(const ReportingPeers &) = delete;
 
-    /// Reports @p version from peer @p n and returns when the node has replied, so that it has handled the report.
+    /// Reports @p version from peer @p n and returns when the node has sent that peer a report. A node sends none to a peer that it has not heard of, so
+    /// that it has handled the peer's first report by then.
     void report(std::size_t n, ConfigurationVersion version)
     {
         std::unique_lock lock(m_mutex);
-        const std::size_t replies = m_replies;
+        const std::size_t replies = m_replies[n];
         const NodeReport report{
             .asksReply = true,
             .isComplete = false,
@@ -61,7 +63,7 @@
         // The node may not listen yet.
         do {
             m_networks[n]->send(m_node, report.encode());
-        } while (!m_changed.wait_for(lock, 200ms, [&] { return m_replies > replies; }));
+        } while (!m_changed.wait_for(lock, 200ms, [&] { return m_replies[n] > replies; }));
     }
     /// The peers that have been asked, in order.
     std::vector<std::size_t> asked()
@@ -83,8 +85,8 @@
             const std::lock_guard lock(m_mutex);
             if (envelope.type == MessageType::ConfigurationRequest) {
                 m_asked.push_back(n);
-            } else if (envelope.type == MessageType::NodeReport && NodeReport::decode(envelope).isComplete) {
-                ++m_replies;
+            } else if (envelope.type == MessageType::NodeReport) {
+                ++m_replies[n];
             }
         }
         m_changed.notify_all();
@@ -94,7 +96,8 @@
     std::mutex m_mutex;
     std::condition_variable m_changed;
     std::vector<std::size_t> m_asked;
-    std::size_t m_replies = 0;
+    /// Reports from the node, by peer.
+    std::vector<std::size_t> m_replies;
     std::vector<std::unique_ptr<PeerNetwork>> m_networks;
 };
 
